--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"stonepitch"
-	"stonepitch/internal/wire"
+	"tinbeam"
+	"tinbeam/internal/wire"
 )
 
 func main() {
@@ -25,9 +25,9 @@
 	w := bufio.NewWriterSize(out, 1<<16)
 	dec := &wire.Decoder{}
 	// A killed controller stays known, with a nil value: what is still said to it is dropped.
-	controllers := map[uint32]*stonepitch.Controller{}
+	controllers := map[uint32]*tinbeam.Controller{}
 	var reply []byte
-	var actions []stonepitch.Action
+	var actions []tinbeam.Action
 	for frames := 0; ; frames++ {
 		frame, err := wire.ReadFrame(r)
 		if err == io.EOF {
@@ -47,7 +47,7 @@
 				if err != nil {
 					return fmt.Errorf("frame %d: record %d, byte %d: %w", frames, i, rec.Offset, err)
 				}
-				controllers[rec.Controller] = stonepitch.New(s, rec.Hello.Salt)
+				controllers[rec.Controller] = tinbeam.New(s, rec.Hello.Salt)
 				continue
 			}
 			c, known := controllers[rec.Controller]
@@ -76,11 +76,11 @@
 }
 
 // handle turns a panic of the module into a bail-out: a controller that has lost its footing must say so.
-func handle(c *stonepitch.Controller, now time.Duration, e stonepitch.Event,
-	dst []stonepitch.Action) (out []stonepitch.Action) {
+func handle(c *tinbeam.Controller, now time.Duration, e tinbeam.Event,
+	dst []tinbeam.Action) (out []tinbeam.Action) {
 	defer func() {
 		if p := recover(); p != nil {
-			out = append(dst[:0], stonepitch.BailOut{Text: fmt.Sprintf("%T: %v", e, p)})
+			out = append(dst[:0], tinbeam.BailOut{Text: fmt.Sprintf("%T: %v", e, p)})
 		}
 	}()
 	return c.Handle(now, e, dst)
--- a/controller.go
+++ b/controller.go
@@ -3,7 +3,7 @@
 // The ordinary path is Turner and Key's banked counter (gap) and direct-first routing with a remembered
 // tandem (admit, tandem). Everything else guards the binding rules or answers a kind of failure.
 
-package stonepitch
+package tinbeam
 
 import (
 	"cmp"
--- a/controller_test.go
+++ b/controller_test.go
@@ -1,4 +1,4 @@
-package stonepitch
+package tinbeam
 
 import (
 	"math"
--- a/interface.go
+++ b/interface.go
@@ -1,7 +1,7 @@
-// Package stonepitch decides which calls a signalling controller sets up, and over which route.
+// Package tinbeam decides which calls a signalling controller sets up, and over which route.
 //
 // This file holds the plain types that pass in and out of a Controller; every decision is in controller.go.
-package stonepitch
+package tinbeam
 
 import "time"
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"stonepitch"
+	"tinbeam"
 )
 
 // maxItems bounds the length of a list that a settings text claims.
@@ -16,14 +16,14 @@
 // ParseSettings reads the path=value lines of a hello. Unknown keys are disregarded and absent ones left
 // zero; a value that is no number is treated as absent. Only the own number, and in a network the number
 // of the own exchange, have no safe meaning when absent and are refused by name.
-func ParseSettings(info string) (stonepitch.Settings, error) {
+func ParseSettings(info string) (tinbeam.Settings, error) {
 	kv := values{}
 	for _, line := range strings.Split(info, "\n") {
 		if k, v, ok := strings.Cut(strings.TrimRight(line, "\r"), "="); ok {
 			kv[k] = v
 		}
 	}
-	var s stonepitch.Settings
+	var s tinbeam.Settings
 	var err error
 	if s.Index, err = kv.must("index"); err != nil {
 		return s, err
@@ -54,14 +54,14 @@
 	if kv["permissions.retryAfter"] == "true" {
 		s.MaxPause = kv.seconds("permissions.maxRetryAfter")
 	}
-	s.Rules = stonepitch.Rules{
+	s.Rules = tinbeam.Rules{
 		AnswerSlack: kv.seconds("rules.answerSlack"), DrainGrace: kv.seconds("rules.drainGrace"),
 		Cold: kv.seconds("rules.cold"), Fall: kv.seconds("rules.fall"), AskWithin: kv.seconds("rules.askWithin"),
 		ColdFrom: kv.float("rules.coldFrom"), FallMultiple: kv.float("rules.fallMultiple"),
 	}
-	s.Blend = stonepitch.Blend{Whole: kv.float("blend.whole"), WorstClass: kv.float("blend.worstClass"),
+	s.Blend = tinbeam.Blend{Whole: kv.float("blend.whole"), WorstClass: kv.float("blend.worstClass"),
 		WorstRealm: kv.float("blend.worstTenant"), WorstWindow: kv.float("blend.worstWindow")}
-	s.Charges = stonepitch.Charges{Probe: kv.float("charges.probe"), LateFail: kv.float("charges.lateFail"),
+	s.Charges = tinbeam.Charges{Probe: kv.float("charges.probe"), LateFail: kv.float("charges.lateFail"),
 		Waste: kv.float("charges.waste"), Tandem: kv.float("charges.tandem")}
 	s.Classes = kv.classes()
 	for i := range s.Classes {
@@ -122,7 +122,7 @@
 	return nil
 }
 
-func (kv values) classes() []stonepitch.Class {
+func (kv values) classes() []tinbeam.Class {
 	n := kv.int("classes.count")
 	if n < 0 || n > maxItems {
 		n = 0
@@ -134,10 +134,10 @@
 		}
 		return values{"": l[i]}.float("")
 	}
-	out := make([]stonepitch.Class, n)
+	out := make([]tinbeam.Class, n)
 	for i := range out {
 		p := fmt.Sprintf("classes.%d.", i)
-		out[i] = stonepitch.Class{
+		out[i] = tinbeam.Class{
 			Name: kv[p+"name"], Aim: kv.seconds(p + "aim"), HardLimit: kv.seconds(p + "hardLimit"),
 			Gain: kv.float(p + "gain"), LateValue: kv.float(p + "lateValue"),
 			Width: at(widths, i), MeanHold: Seconds(at(holds, i)),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"stonepitch"
+	"tinbeam"
 )
 
 // The event codes.
@@ -60,7 +60,7 @@
 	Offset     int
 	Hello      *Hello
 	Killed     bool
-	Event      stonepitch.Event
+	Event      tinbeam.Event
 }
 
 // Batch is one decoded frame.
@@ -71,7 +71,7 @@
 
 // Decoder decodes frames; it keeps the numbered lists that later frames refer to.
 type Decoder struct {
-	lists [tables][]stonepitch.Entry
+	lists [tables][]tinbeam.Entry
 	known [tables]bool
 }
 
@@ -247,15 +247,15 @@
 	case codeKilled:
 		r.Killed = true
 	case codeTopology:
-		t := stonepitch.Topology{Version: c.u64()}
+		t := tinbeam.Topology{Version: c.u64()}
 		at := c.at
 		table := c.u32()
-		t.Kind = stonepitch.ListKind(c.u8())
+		t.Kind = tinbeam.ListKind(c.u8())
 		switch {
 		case c.err != nil:
-		case t.Kind > stonepitch.ListFailed:
+		case t.Kind > tinbeam.ListFailed:
 			c.fail(at+4, "unknown kind of list %d", t.Kind)
-		case t.Kind == stonepitch.ListFailed:
+		case t.Kind == tinbeam.ListFailed:
 		case table >= tables || !d.known[table]:
 			c.fail(at, "list %d was never given", table)
 		default:
@@ -263,7 +263,7 @@
 		}
 		r.Event = t
 	case codeAccept:
-		o := stonepitch.Offer{Ref: c.u32(), Class: int(c.u16()), Number: c.u64(), Width: float64(c.f32())}
+		o := tinbeam.Offer{Ref: c.u32(), Class: int(c.u16()), Number: c.u64(), Width: float64(c.f32())}
 		c.u16() // tenant
 		o.TTL = c.seconds("ttl")
 		o.Dest = c.number("destination")
@@ -272,27 +272,27 @@
 		o.Via = c.number("via")
 		r.Event = o
 	case codeOutcome:
-		o := stonepitch.Outcome{Ref: c.u32(), NoMore: c.u8() != 0, Note: c.u32(), Try: int(c.u8())}
+		o := tinbeam.Outcome{Ref: c.u32(), NoMore: c.u8() != 0, Note: c.u32(), Try: int(c.u8())}
 		o.Took = c.seconds("time")
 		o.Switch = c.u32()
-		o.Code = stonepitch.Code(c.u16())
+		o.Code = tinbeam.Code(c.u16())
 		o.Report = c.report()
 		r.Event = o
 	case codeFlowing:
-		f := stonepitch.Flowing{Ref: c.u32(), Try: int(c.u8()), Switch: c.u32()}
+		f := tinbeam.Flowing{Ref: c.u32(), Try: int(c.u8()), Switch: c.u32()}
 		f.Took = c.seconds("time")
 		r.Event = f
 	case codeSampled:
-		s := stonepitch.Sampled{Switch: c.u32(), Code: stonepitch.Code(c.u16())}
+		s := tinbeam.Sampled{Switch: c.u32(), Code: tinbeam.Code(c.u16())}
 		s.Took = c.seconds("time")
 		s.Report = c.report()
 		r.Event = s
 	case codeWithdrawn:
-		r.Event = stonepitch.Withdrawn{Ref: c.u32()}
+		r.Event = tinbeam.Withdrawn{Ref: c.u32()}
 	case codeTickDue:
-		r.Event = stonepitch.TickDue{Handle: c.u64()}
+		r.Event = tinbeam.TickDue{Handle: c.u64()}
 	case codeDatagram:
-		g := stonepitch.Datagram{Author: int(c.u16())}
+		g := tinbeam.Datagram{Author: int(c.u16())}
 		g.Payload = append([]byte(nil), c.take(int(c.u16()))...)
 		r.Event = g
 	}
@@ -311,14 +311,14 @@
 	if c.err != nil {
 		return
 	}
-	list := make([]stonepitch.Entry, n) // a new slice: controllers may still read the superseded list
+	list := make([]tinbeam.Entry, n) // a new slice: controllers may still read the superseded list
 	for i := range list {
-		e := stonepitch.Entry{Switch: c.u32(), Zone: int(c.u8())}
+		e := tinbeam.Entry{Switch: c.u32(), Zone: int(c.u8())}
 		c.u8() // kind of machine
 		e.Place = int(c.u16())
 		at = c.at
-		e.Mode = stonepitch.Mode(c.u8())
-		if e.Mode > stonepitch.Draining {
+		e.Mode = tinbeam.Mode(c.u8())
+		if e.Mode > tinbeam.Draining {
 			c.fail(at, "unknown mode %d", e.Mode)
 		}
 		e.Scale = float64(c.f32())
@@ -338,7 +338,7 @@
 }
 
 // AppendAction appends one action of a controller.
-func AppendAction(b []byte, controller uint32, a stonepitch.Action) []byte {
+func AppendAction(b []byte, controller uint32, a tinbeam.Action) []byte {
 	le := binary.LittleEndian
 	head := func(code uint16) { b = le.AppendUint32(le.AppendUint16(b, code), controller) }
 	secs := func(d time.Duration) {
@@ -351,41 +351,41 @@
 		b = append(le.AppendUint16(b, uint16(len(s))), s...)
 	}
 	switch a := a.(type) {
-	case stonepitch.Attempt:
+	case tinbeam.Attempt:
 		head(256)
 		b = le.AppendUint32(le.AppendUint32(b, a.Ref), a.Switch)
 		secs(a.GiveUpAfter)
-	case stonepitch.Decline:
+	case tinbeam.Decline:
 		head(257)
 		b = le.AppendUint32(b, a.Ref)
 		secs(a.Pause)
-	case stonepitch.GiveUp:
+	case tinbeam.GiveUp:
 		head(258)
 		b = le.AppendUint32(b, a.Ref)
-	case stonepitch.Withdraw:
+	case tinbeam.Withdraw:
 		head(259)
 		b = append(le.AppendUint32(b, a.Ref), uint8(a.Try))
-	case stonepitch.Schedule:
+	case tinbeam.Schedule:
 		head(260)
 		secs(a.After)
 		b = le.AppendUint64(b, a.Handle)
-	case stonepitch.AskLoad:
+	case tinbeam.AskLoad:
 		head(261)
 		b = le.AppendUint32(b, a.Switch)
-	case stonepitch.Note:
+	case tinbeam.Note:
 		head(264)
 		text(a.Text, math.MaxUint16)
-	case stonepitch.BailOut:
+	case tinbeam.BailOut:
 		head(265)
 		text(a.Text, math.MaxUint16)
-	case stonepitch.StreamChanges:
+	case tinbeam.StreamChanges:
 		head(266)
 		active := uint8(0)
 		if a.Active {
 			active = 1
 		}
 		b = append(b, active)
-	case stonepitch.Lookup:
+	case tinbeam.Lookup:
 		head(267)
 	default:
 		panic(fmt.Sprintf("wire: action %T has no code", a))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"stonepitch"
+	"tinbeam"
 )
 
 func unhex(t testing.TB, s string) []byte {
@@ -53,43 +53,43 @@
 	if b.Clock != 12500*time.Millisecond || len(b.Records) != 5 {
 		t.Fatalf("clock %v, %d records", b.Clock, len(b.Records))
 	}
-	top := b.Records[0].Event.(stonepitch.Topology)
-	if top.Version != 41 || top.Kind != stonepitch.ListCached || len(top.Entries) != 2 ||
+	top := b.Records[0].Event.(tinbeam.Topology)
+	if top.Version != 41 || top.Kind != tinbeam.ListCached || len(top.Entries) != 2 ||
 		top.Entries[1].Zone != 1 || top.Entries[1].OnlineSince != 6100*time.Millisecond {
 		t.Errorf("topology %+v", top)
 	}
-	o := b.Records[1].Event.(stonepitch.Offer)
+	o := b.Records[1].Event.(tinbeam.Offer)
 	if o.Ref != 0x5d3a91c4 || o.TTL != 240*time.Millisecond || o.Dest != 57 || o.Opts != 1 || o.Via != 256 || o.Width != 1200 {
 		t.Errorf("offer %+v", o)
 	}
-	end := b.Records[2].Event.(stonepitch.Outcome)
-	if !end.NoMore || end.Code != stonepitch.OK || end.Took != 18500*time.Microsecond || end.Switch != 0x03124a07 {
+	end := b.Records[2].Event.(tinbeam.Outcome)
+	if !end.NoMore || end.Code != tinbeam.OK || end.Took != 18500*time.Microsecond || end.Switch != 0x03124a07 {
 		t.Errorf("outcome %+v", end)
 	}
-	if s := b.Records[3].Event.(stonepitch.Sampled); len(s.Report) != 4 || s.Report[3] != 140 {
+	if s := b.Records[3].Event.(tinbeam.Sampled); len(s.Report) != 4 || s.Report[3] != 140 {
 		t.Errorf("sampled %+v", s)
 	}
-	if b.Records[4].Event.(stonepitch.TickDue).Handle != 77 {
+	if b.Records[4].Event.(tinbeam.TickDue).Handle != 77 {
 		t.Error("timer")
 	}
 }
 
 func TestEncodeExamples(t *testing.T) {
 	for _, c := range []struct {
-		a    stonepitch.Action
+		a    tinbeam.Action
 		want string
 	}{
-		{stonepitch.Attempt{Ref: 0x5d3a91c4, Switch: 0x03124a07, GiveUpAfter: 80 * time.Millisecond},
+		{tinbeam.Attempt{Ref: 0x5d3a91c4, Switch: 0x03124a07, GiveUpAfter: 80 * time.Millisecond},
 			"0001 03000000 c4913a5d 074a1203 7b14ae47e17ab43f"},
-		{stonepitch.Decline{Ref: 0x0e6f2b19, Pause: 250 * time.Millisecond}, "0101 03000000 192b6f0e 000000000000d03f"},
-		{stonepitch.GiveUp{Ref: 0x0e6f2b19}, "0201 03000000 192b6f0e"},
-		{stonepitch.Withdraw{Ref: 0x5d3a91c4}, "0301 03000000 c4913a5d 00"},
-		{stonepitch.Schedule{After: 500 * time.Millisecond, Handle: 77}, "0401 03000000 000000000000e03f 4d00000000000000"},
-		{stonepitch.AskLoad{Switch: 0x2c9011f2}, "0501 03000000 f211902c"},
-		{stonepitch.Note{Text: "two servers known"}, "0801 03000000 1100 74776f2073657276657273206b6e6f776e"},
-		{stonepitch.BailOut{Text: "index out of range"}, "0901 03000000 1200 696e646578206f7574206f662072616e6765"},
-		{stonepitch.StreamChanges{Active: true}, "0a01 03000000 01"},
-		{stonepitch.Lookup{}, "0b01 03000000"},
+		{tinbeam.Decline{Ref: 0x0e6f2b19, Pause: 250 * time.Millisecond}, "0101 03000000 192b6f0e 000000000000d03f"},
+		{tinbeam.GiveUp{Ref: 0x0e6f2b19}, "0201 03000000 192b6f0e"},
+		{tinbeam.Withdraw{Ref: 0x5d3a91c4}, "0301 03000000 c4913a5d 00"},
+		{tinbeam.Schedule{After: 500 * time.Millisecond, Handle: 77}, "0401 03000000 000000000000e03f 4d00000000000000"},
+		{tinbeam.AskLoad{Switch: 0x2c9011f2}, "0501 03000000 f211902c"},
+		{tinbeam.Note{Text: "two servers known"}, "0801 03000000 1100 74776f2073657276657273206b6e6f776e"},
+		{tinbeam.BailOut{Text: "index out of range"}, "0901 03000000 1200 696e646578206f7574206f662072616e6765"},
+		{tinbeam.StreamChanges{Active: true}, "0a01 03000000 01"},
+		{tinbeam.Lookup{}, "0b01 03000000"},
 	} {
 		if got := AppendAction(nil, 3, c.a); !bytes.Equal(got, unhex(t, c.want)) {
 			t.Errorf("%T: %x, want %s", c.a, got, c.want)
