--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,462 @@
+// Package agent is the core of the call agent. It deals in requests, attempts, outcomes and probes, and knows no
+// wire: a front brings calls in on the caller side, and carries attempts out on the far side.
+//
+// Every decision is the module's (package tinbeam). What is mechanical is done here: deadlines, one final answer a
+// call, one attempt out, the release wait, and nothing fresh to a far end that drains or is gone.
+package agent
+
+import (
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	must "tinbeam/internal/debug"
+	"tinbeam/internal/metrics"
+)
+
+// Figures that are not policy: how the program keeps what the module has decided.
+const (
+	answerMargin = 15 * time.Millisecond  // a final answer leaves this much ahead of the caller's deadline
+	probeTimeout = 500 * time.Millisecond // a test without an answer has failed
+	callsMost    = 20000                  // calls held at once; what is beyond is refused before the module sees it
+)
+
+// Caller is the side a call came from. A call gets exactly one of Answer and Refuse, and after an Answer one
+// Release unless the caller released it. The core never calls it for a call whose caller has left.
+type Caller interface {
+	Answer(c *Call, description string)
+	Refuse(c *Call, failed bool, pause time.Duration)
+	Release(c *Call, cause int)
+}
+
+// Far is a side that attempts go out on. It brings in one Ended for each SetUp that was not given up.
+type Far interface {
+	SetUp(a *Attempt)
+	GiveUp(a *Attempt)             // before the answer: whatever still waits to be written is taken back
+	Release(a *Attempt, cause int) // of an attempt that stands
+	Probe(id uint32)
+}
+
+// Hook sees events before the module does; Refuse may turn a call away. See package plugin.
+type Hook interface {
+	Refuse(c *Call) bool
+	Event(name string, c *Call)
+}
+
+// Call is one call from when it is taken until it is over.
+type Call struct {
+	ID          string // in messages: 16 hex digits
+	Number      string // the number called, as written
+	Class       int
+	Description string // the caller's
+	Key         uint64 // the number called, for the module
+	Width       float64
+	Left        time.Duration
+	Dest, Via   int
+	Opts        uint8
+	Caller      Caller
+	Leg         any // the front's own
+
+	ref       uint32
+	taken     time.Duration
+	deadline  time.Duration
+	answered  bool // its one final answer has been given
+	standing  bool
+	out       *Attempt // out, or standing
+	tries     int
+	notBefore time.Duration
+	guard     *Timer
+}
+
+// Attempt is one set-up towards a far end.
+type Attempt struct {
+	Call   *Call
+	Switch uint32
+	Left   time.Duration // how long it is waited for
+	Leg    any           // the front's own
+
+	SentAt time.Duration
+
+	try   int
+	timer *Timer
+}
+
+// Standing tells whether the call has been answered and is not over.
+func (k *Call) Standing() bool { return k.standing }
+
+// Standing tells whether its call stands.
+func (a *Attempt) Standing() bool { return a.Call.standing }
+
+// Core owns the Controller and the table of calls. All its methods run on its loop.
+type Core struct {
+	*Loop
+	Set  tinbeam.Settings
+	M    *metrics.Set
+	log  *zap.Logger
+	ctl  *tinbeam.Controller
+	hook Hook
+
+	next   uint32
+	calls  map[uint32]*Call
+	places map[uint32]*place
+	probes map[uint32]*Timer
+	events []tinbeam.Event // to be told to the module next
+	busy   bool
+	idle   func() // called when the last call that is owed an answer has got it
+	owed   int
+}
+
+// place is a far end as the list has it.
+type place struct {
+	far   Far
+	mode  tinbeam.Mode
+	since time.Duration
+}
+
+// New makes a core that knows no far end.
+func New(loop *Loop, set tinbeam.Settings, seed uint64, m *metrics.Set, log *zap.Logger, hook Hook) *Core {
+	return &Core{Loop: loop, Set: set, M: m, log: log, hook: hook, ctl: tinbeam.New(set, seed),
+		calls: map[uint32]*Call{}, places: map[uint32]*place{}, probes: map[uint32]*Timer{}}
+}
+
+// tell tells the module events, the oldest first, and does what it asks for. What happens meanwhile waits its turn.
+func (c *Core) tell(ev ...tinbeam.Event) {
+	c.events = append(c.events, ev...)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	defer func() { c.busy = false }()
+	for len(c.events) > 0 {
+		e := c.events[0]
+		c.events = c.events[1:]
+		for _, a := range c.decide(e) {
+			c.act(a)
+		}
+	}
+	c.events = nil
+}
+
+// decide guards against a fault of the module: it is counted and told, and the calls it concerned get their answer at
+// their deadline.
+func (c *Core) decide(e tinbeam.Event) (acts []tinbeam.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.M.Panics.Inc()
+			c.log.Error("decision failed", zap.Any("panic", p), zap.String("event", fmt.Sprintf("%T", e)),
+				zap.ByteString("stack", debug.Stack()))
+			acts = []tinbeam.Action{tinbeam.Schedule{After: 20 * time.Millisecond, Handle: 1}}
+		}
+	}()
+	return c.ctl.Handle(c.Now(), e, nil)
+}
+
+func (c *Core) act(a tinbeam.Action) {
+	switch a := a.(type) {
+	case tinbeam.Attempt:
+		c.setUp(a)
+	case tinbeam.Decline:
+		if k := c.calls[a.Ref]; k != nil {
+			c.refuse(k, false, a.Pause)
+		}
+	case tinbeam.GiveUp:
+		if k := c.calls[a.Ref]; k != nil {
+			c.refuse(k, true, 0)
+		}
+	case tinbeam.Withdraw:
+		if k := c.calls[a.Ref]; k != nil && k.out != nil && k.out.try == a.Try && !k.standing {
+			at := k.out
+			c.places[at.Switch].far.GiveUp(at)
+			c.Ended(at, tinbeam.Cancelled, 0, nil, 0)
+		}
+	case tinbeam.Schedule:
+		c.After(a.After, func() { c.tell(tinbeam.TickDue{Handle: a.Handle}) })
+	case tinbeam.AskLoad:
+		c.probe(a.Switch)
+	case tinbeam.Note:
+		c.log.Info(a.Text)
+	case tinbeam.BailOut:
+		c.log.Error(a.Text)
+	case tinbeam.Lookup, tinbeam.StreamChanges:
+		// The change log is followed all the time.
+	default:
+		must.Must(false, c.M.Violations, "action %T is known", a)
+	}
+}
+
+// Offer takes a call. Left counts from now.
+func (c *Core) Offer(k *Call) {
+	c.M.Offered.Inc()
+	k.taken, k.deadline = c.Now(), c.Now()+max(k.Left, 0)
+	c.owed++
+	c.M.Pending.Set(int64(c.owed))
+	c.next++
+	k.ref = c.next
+	c.calls[k.ref] = k
+	switch {
+	case len(c.calls) > callsMost:
+		c.refuse(k, false, c.Set.MaxPause)
+		return
+	case c.hook != nil && c.hook.Refuse(k):
+		c.M.PluginRefusals.Inc()
+		c.refuse(k, false, c.Set.MaxPause)
+		return
+	}
+	// Guards against a module that keeps a call too long, whatever the cause: its caller gets an answer.
+	k.guard = c.At(max(k.deadline-answerMargin+2*time.Millisecond, c.Now()), func() {
+		c.M.LateAnswers.Inc()
+		c.refuse(k, true, 0)
+		c.tell(tinbeam.Withdrawn{Ref: k.ref})
+	})
+	c.tell(tinbeam.Offer{Ref: k.ref, Class: k.Class, Number: k.Key, Width: k.Width, TTL: max(k.Left, 0),
+		Dest: k.Dest, Opts: k.Opts, Via: k.Via})
+}
+
+// final gives up the claim to the one final answer of a call; false: it has been given.
+func (c *Core) final(k *Call) bool {
+	if k.answered {
+		return false
+	}
+	k.answered = true
+	c.Stop(k.guard)
+	c.owed--
+	c.M.Pending.Set(int64(c.owed))
+	if c.owed == 0 && c.idle != nil {
+		c.Post(c.idle)
+	}
+	return true
+}
+
+func (c *Core) refuse(k *Call, failed bool, pause time.Duration) {
+	if !c.final(k) {
+		return
+	}
+	if at := k.out; at != nil { // only where the guard of the deadline struck
+		c.drop(at)
+		c.places[at.Switch].far.GiveUp(at)
+	}
+	delete(c.calls, k.ref)
+	if failed {
+		c.M.Failed.Inc()
+	} else {
+		c.M.Refused.Inc()
+	}
+	k.Caller.Refuse(k, failed, pause)
+	c.see("refused", k)
+}
+
+func (c *Core) see(name string, k *Call) {
+	if c.hook != nil {
+		c.hook.Event(name, k)
+	}
+}
+
+func (c *Core) setUp(a tinbeam.Attempt) {
+	k := c.calls[a.Ref]
+	if k == nil || k.answered {
+		return
+	}
+	try := k.tries
+	k.tries++
+	p := c.places[a.Switch]
+	moot := func() {
+		c.tell(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.Moot})
+	}
+	v := c.M.Violations
+	if !must.Must(k.out == nil, v, "call %s has no other attempt out", k.ID) ||
+		!must.Must(c.Now() >= k.notBefore, v, "call %s: the release is awaited", k.ID) ||
+		!must.Must(c.Set.MostTries == 0 || k.tries <= c.Set.MostTries, v, "call %s: tries are left", k.ID) ||
+		!must.Must(p != nil && p.mode == tinbeam.Ready, v, "far end %08x is ready", a.Switch) {
+		moot()
+		return
+	}
+	left := k.deadline - answerMargin - c.Now()
+	if a.GiveUpAfter != 0 {
+		left = min(left, a.GiveUpAfter)
+	}
+	if left <= 0 {
+		c.tell(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.TimedOut})
+		return
+	}
+	at := &Attempt{Call: k, Switch: a.Switch, Left: left, try: try, SentAt: c.Now()}
+	k.out = at
+	c.M.Attempts.Inc()
+	at.timer = c.After(left, func() {
+		p.far.GiveUp(at)
+		c.Ended(at, tinbeam.TimedOut, 0, nil, 0)
+	})
+	p.far.SetUp(at)
+	c.see("attempt", k)
+}
+
+// drop takes an attempt off its call.
+func (c *Core) drop(at *Attempt) {
+	c.Stop(at.timer)
+	at.Call.out = nil
+}
+
+// Answered tells that an attempt was answered: the call stands.
+func (c *Core) Answered(at *Attempt, description string) {
+	k := at.Call
+	if k.out != at || k.standing {
+		c.M.Stray.Inc() // it crossed what ended the attempt, or came twice
+		return
+	}
+	c.Stop(at.timer)
+	if !must.Must(c.final(k), c.M.Violations, "call %s: an attempt is out, so no answer was given", k.ID) {
+		return
+	}
+	k.standing = true
+	c.M.Answered.Inc()
+	c.M.Standing.Add(1)
+	k.Caller.Answer(k, description)
+	c.tell(tinbeam.Flowing{Ref: k.ref, Try: at.try, Switch: at.Switch, Took: c.Now() - at.SentAt})
+	c.see("answered", k)
+}
+
+// Ended tells how an attempt ended, standing or not. The cause is for the release towards the caller.
+func (c *Core) Ended(at *Attempt, code tinbeam.Code, note uint32, report []float32, cause int) {
+	k := at.Call
+	if k.out != at {
+		c.M.Stray.Inc()
+		return
+	}
+	c.drop(at)
+	over := k.answered
+	if k.standing {
+		c.over(k)
+		k.Caller.Release(k, cause)
+	} else {
+		c.count(code)
+	}
+	if code == tinbeam.TimedOut || code == tinbeam.Reset || code == tinbeam.Cancelled {
+		k.notBefore = c.Now() + c.Set.ReleaseWait
+	}
+	c.tell(tinbeam.Outcome{Ref: k.ref, Try: at.try, NoMore: over, Note: note, Took: c.Now() - at.SentAt,
+		Switch: at.Switch, Code: code, Report: report})
+}
+
+func (c *Core) count(code tinbeam.Code) {
+	switch code {
+	case tinbeam.Full, tinbeam.Moot:
+		c.M.AttemptsFull.Inc()
+	case tinbeam.TimedOut:
+		c.M.AttemptsTimeout.Inc()
+	case tinbeam.Reset:
+		c.M.AttemptsReset.Inc()
+	case tinbeam.ConnectFailed:
+		c.M.AttemptsUnreached.Inc()
+	case tinbeam.Failed:
+		c.M.AttemptsFailed.Inc()
+	}
+}
+
+// over ends a standing call.
+func (c *Core) over(k *Call) {
+	k.standing = false
+	delete(c.calls, k.ref)
+	c.M.Standing.Add(-1)
+	c.M.Released.Inc()
+	c.see("released", k)
+}
+
+// Abandoned tells that the caller of a call has left: it gave the set-up up, or its connection ended.
+func (c *Core) Abandoned(k *Call) {
+	if !c.final(k) {
+		return
+	}
+	c.M.Abandoned.Inc()
+	delete(c.calls, k.ref)
+	at := k.out
+	c.tell(tinbeam.Withdrawn{Ref: k.ref})
+	if at != nil {
+		c.drop(at)
+		c.places[at.Switch].far.GiveUp(at)
+		c.tell(tinbeam.Outcome{Ref: k.ref, Try: at.try, NoMore: true, Took: c.Now() - at.SentAt,
+			Switch: at.Switch, Code: tinbeam.Cancelled})
+	}
+	c.see("abandoned", k)
+}
+
+// Hangup tells that the caller has released a call that stands.
+func (c *Core) Hangup(k *Call, cause int) {
+	at := k.out
+	if !k.standing || at == nil {
+		c.M.Repeated.Inc()
+		return
+	}
+	c.drop(at)
+	c.over(k)
+	c.places[at.Switch].far.Release(at, cause)
+	c.tell(tinbeam.Outcome{Ref: k.ref, Try: at.try, NoMore: true, Took: c.Now() - at.SentAt, Switch: at.Switch,
+		Code: tinbeam.Cancelled})
+}
+
+// Listed brings an event of the list. Each entry names the side that its far end is reached on.
+func (c *Core) Listed(version uint64, kind tinbeam.ListKind, entries []tinbeam.Entry, far Far) {
+	now := map[uint32]bool{}
+	for _, e := range entries {
+		now[e.Switch] = true
+		p := c.places[e.Switch]
+		if p == nil {
+			p = &place{}
+			c.places[e.Switch] = p
+		}
+		p.far, p.mode, p.since = far, e.Mode, e.OnlineSince
+	}
+	if kind != tinbeam.ListDelta {
+		for id, p := range c.places {
+			if !now[id] && p.far == far {
+				p.mode = tinbeam.Gone
+			}
+		}
+	}
+	c.tell(tinbeam.Topology{Version: version, Kind: kind, Entries: entries})
+}
+
+// Mode is the state of a far end in the list.
+func (c *Core) Mode(id uint32) tinbeam.Mode {
+	if p := c.places[id]; p != nil {
+		return p.mode
+	}
+	return tinbeam.Gone
+}
+
+// Report brings an unasked report of the state of a group.
+func (c *Core) Report(id uint32, report []float32) {
+	c.M.Reports.Inc()
+	c.tell(tinbeam.Sampled{Switch: id, Code: tinbeam.OK, Report: report})
+}
+
+func (c *Core) probe(id uint32) {
+	p := c.places[id]
+	if p == nil || c.probes[id] != nil {
+		return
+	}
+	c.M.Probes.Inc()
+	c.probes[id] = c.After(probeTimeout, func() { c.Probed(id, tinbeam.TimedOut, probeTimeout, nil) })
+	p.far.Probe(id)
+}
+
+// Probed brings the answer to a test.
+func (c *Core) Probed(id uint32, code tinbeam.Code, took time.Duration, report []float32) {
+	t := c.probes[id]
+	if t == nil {
+		return // too late, or a test of the front's own
+	}
+	c.Stop(t)
+	delete(c.probes, id)
+	if report != nil {
+		c.M.Reports.Inc()
+	}
+	c.tell(tinbeam.Sampled{Switch: id, Code: code, Took: max(took, time.Microsecond), Report: report})
+}
+
+// Owed is how many calls wait for their final answer.
+func (c *Core) Owed() int { return c.owed }
+
+// WhenIdle has fn called whenever the last call that is owed an answer has got it.
+func (c *Core) WhenIdle(fn func()) { c.idle = fn }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,170 @@
+// Package config reads what a call agent is told when it starts: the platform's configuration, and the operator's
+// file for what the platform does not know of.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tinbeam"
+	"tinbeam/internal/changelog"
+	"tinbeam/internal/wire"
+)
+
+// Config is the platform's configuration, checked.
+type Config struct {
+	Name, Listen, Changelog string
+	Seed                    uint64
+	MemoryMB, Sockets       int
+	Settings                tinbeam.Settings
+	ConnectTimeout          time.Duration
+	Seq                     uint64
+	Known                   []changelog.Event
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Seed      string `json:"seed"`
+	Changelog string `json:"changelog"`
+	Limits    struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration of a path. The environment's name and address, where set, stand over the file's.
+func Load(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration.
+func Parse(raw []byte) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Changelog: f.Changelog,
+		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
+	if v := os.Getenv("BALANCER_NAME"); v != "" {
+		c.Name = v
+	}
+	if v := os.Getenv("BALANCER_LISTEN"); v != "" {
+		c.Listen = v
+	}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %q is no address with a port", c.Listen)
+	}
+	if _, err := netip.ParseAddrPort(c.Changelog); err != nil && c.Changelog != "" {
+		return nil, fmt.Errorf("changelog: %q is no address with a port", c.Changelog)
+	}
+	if n, err := strconv.ParseUint(f.Seed, 16, 64); err == nil {
+		c.Seed = n
+	} else {
+		h := fnv.New64a() // any text will do as a seed
+		h.Write([]byte(f.Seed))
+		c.Seed = h.Sum64()
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings are missing")
+	}
+	flat, err := flatten(f.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings, err = wire.ParseSettings(flat); err != nil {
+		return nil, err
+	}
+	if len(c.Settings.Classes) == 0 {
+		return nil, fmt.Errorf("settings: no classes of call")
+	}
+	var own struct {
+		Zones       []string `json:"azs"`
+		Permissions struct {
+			ConnectTimeout float64 `json:"connectTimeout"`
+		} `json:"permissions"`
+	}
+	_ = json.Unmarshal(f.Settings, &own) // of another shape, they count as absent
+	c.ConnectTimeout = wire.Seconds(min(max(own.Permissions.ConnectTimeout, 0), 60))
+	if c.Seq, c.Known, err = changelog.Known(f.Known, own.Zones); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// flatten writes nested JSON as the path=value lines of the simulator's hello, so that both are read by one parser.
+func flatten(raw []byte) (string, error) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.UseNumber()
+	var v map[string]any
+	if err := dec.Decode(&v); err != nil {
+		return "", err
+	}
+	var out strings.Builder
+	walk(&out, "", v)
+	return out.String(), nil
+}
+
+func walk(out *strings.Builder, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		keys := make([]string, 0, len(v))
+		for k := range v {
+			keys = append(keys, k)
+		}
+		slices.Sort(keys)
+		for _, k := range keys {
+			walk(out, strings.TrimPrefix(path+"."+k, "."), v[k])
+		}
+	case []any:
+		parts := make([]string, 0, len(v))
+		for _, e := range v {
+			s, plain := scalar(e)
+			if !plain {
+				fmt.Fprintf(out, "%s.count=%d\n", path, len(v))
+				for i, e := range v {
+					walk(out, fmt.Sprintf("%s.%d", path, i), e)
+				}
+				return
+			}
+			parts = append(parts, strings.ReplaceAll(s, ",", "_"))
+		}
+		fmt.Fprintf(out, "%s=%s\n", path, strings.Join(parts, ","))
+	default:
+		if s, ok := scalar(v); ok {
+			fmt.Fprintf(out, "%s=%s\n", path, s)
+		}
+	}
+}
+
+func scalar(v any) (string, bool) {
+	switch v := v.(type) {
+	case string:
+		return strings.ReplaceAll(v, "\n", "_"), true
+	case json.Number:
+		return v.String(), true
+	case bool:
+		return strconv.FormatBool(v), true
+	case nil:
+		return "", true
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/debug/debug_on.go
@@ -0,0 +1,5 @@
+//go:build debug
+
+package debug
+
+const asserting = true
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,262 @@
+// Package link has the connection object that every stream of the agent uses: netpoll reads, one goroutine a
+// connection writes, and callbacks tell of what came and of the end. Nothing is started for a message.
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+const (
+	maxQueued    = 256 << 10       // bytes that may wait for a peer that does not read
+	maxWrite     = 32 << 10        // bytes handed to the kernel at once: what is behind them can still be taken back
+	maxInput     = 64 << 10        // bytes kept of a message that is not whole
+	writeTimeout = 3 * time.Second // a peer that reads nothing for so long is gone
+)
+
+// Ticket lets a message be taken back as long as it has not been handed to the kernel.
+type Ticket struct{ state atomic.Int32 }
+
+const (
+	waiting int32 = iota
+	written
+	withdrawn
+)
+
+// Withdraw takes the message back, and tells whether that came in time.
+func (t *Ticket) Withdraw() bool { return t.state.CompareAndSwap(waiting, withdrawn) }
+
+// Written tells whether the message has been handed to the kernel.
+func (t *Ticket) Written() bool { return t.state.Load() == written }
+
+// Events is what a connection tells of itself. Data takes whole messages from the front of b and tells how
+// many bytes they had; an error closes the connection after what is queued has been written. Closed
+// comes once, after the last Data.
+type Events interface {
+	Data(c *Conn, b []byte) (int, error)
+	Closed(c *Conn)
+}
+
+// Conn is one connection.
+type Conn struct {
+	np     netpoll.Connection
+	events Events
+	in     []byte
+
+	mu      sync.Mutex
+	wake    sync.Cond
+	queue   []message
+	queued  int
+	closing bool // nothing more is queued; closed when all is written
+	closed  bool
+	told    sync.Once
+}
+
+type message struct {
+	bytes  []byte
+	ticket *Ticket
+}
+
+func attach(np netpoll.Connection, ev Events) *Conn {
+	c := &Conn{np: np, events: ev}
+	c.wake.L = &c.mu
+	_ = np.SetWriteTimeout(writeTimeout)
+	_ = np.AddCloseCallback(func(netpoll.Connection) error {
+		c.stop()
+		return nil
+	})
+	go c.writeLoop()
+	return c
+}
+
+// Dial opens a connection, or gives up after the timeout. It blocks: never call it on the core's goroutine.
+func Dial(addr string, timeout time.Duration, ev Events) (*Conn, error) {
+	np, err := netpoll.DialConnection("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	c := attach(np, ev)
+	if err := np.SetOnRequest(c.onRequest); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Listener takes connections in.
+type Listener struct {
+	ln   net.Listener
+	loop netpoll.EventLoop
+	done chan error
+}
+
+// Listen opens addr; accept gives each new connection its events.
+func Listen(addr string, accept func() Events) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	type key struct{}
+	loop, err := netpoll.NewEventLoop(
+		func(ctx context.Context, np netpoll.Connection) error {
+			c, ok := ctx.Value(key{}).(*Conn)
+			if !ok {
+				return errors.New("link: a connection without its object")
+			}
+			return c.onRequest(ctx, np)
+		},
+		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
+			return context.WithValue(context.Background(), key{}, attach(np, accept()))
+		}))
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	l := &Listener{ln: ln, loop: loop, done: make(chan error, 1)}
+	go func() { l.done <- loop.Serve(ln) }()
+	return l, nil
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Close stops listening and closes what it took in.
+func (l *Listener) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_ = l.loop.Shutdown(ctx)
+}
+
+func (c *Conn) onRequest(_ context.Context, np netpoll.Connection) error {
+	r := np.Reader()
+	n := r.Len()
+	if n == 0 {
+		return nil
+	}
+	b, err := r.Next(n)
+	if err != nil {
+		return nil // the close callback tells
+	}
+	c.in = append(c.in, b...)
+	_ = r.Release()
+	c.mu.Lock()
+	closing := c.closing
+	c.mu.Unlock()
+	if closing {
+		c.in = c.in[:0]
+		return nil
+	}
+	used, err := c.events.Data(c, c.in)
+	c.in = append(c.in[:0], c.in[min(max(used, 0), len(c.in)):]...)
+	if err != nil || len(c.in) > maxInput {
+		c.in = c.in[:0]
+		c.Finish()
+	}
+	return nil
+}
+
+// Send queues a message; it never blocks. It tells false where the connection is closed or its peer has not
+// read for so long that the queue is full, which ends the connection. A nil ticket cannot be withdrawn.
+func (c *Conn) Send(b []byte, t *Ticket) bool {
+	c.mu.Lock()
+	if c.closing || c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	if c.queued+len(b) > maxQueued {
+		c.mu.Unlock()
+		c.Close()
+		return false
+	}
+	c.queue = append(c.queue, message{b, t})
+	c.queued += len(b)
+	c.wake.Signal()
+	c.mu.Unlock()
+	return true
+}
+
+// Finish closes the connection once all that is queued has been written.
+func (c *Conn) Finish() {
+	c.mu.Lock()
+	c.closing = true
+	c.wake.Signal()
+	c.mu.Unlock()
+}
+
+// Close closes the connection at once.
+func (c *Conn) Close() {
+	c.stop()
+	_ = c.np.Close()
+}
+
+// Peer is the other side's address.
+func (c *Conn) Peer() string { return c.np.RemoteAddr().String() }
+
+func (c *Conn) stop() {
+	c.mu.Lock()
+	c.closed = true
+	c.queue, c.queued = nil, 0
+	c.wake.Signal()
+	c.mu.Unlock()
+	c.told.Do(func() { c.events.Closed(c) })
+}
+
+// take is the next batch to write; nil: the connection is over.
+func (c *Conn) take() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		var batch []byte
+		n := 0
+		for _, m := range c.queue {
+			if len(batch) > 0 && len(batch)+len(m.bytes) > maxWrite {
+				break
+			}
+			n++
+			c.queued -= len(m.bytes)
+			if m.ticket == nil || m.ticket.state.CompareAndSwap(waiting, written) {
+				batch = append(batch, m.bytes...)
+			}
+		}
+		c.queue = append(c.queue[:0], c.queue[n:]...)
+		switch {
+		case c.closed:
+			return nil
+		case len(batch) > 0:
+			return batch
+		case len(c.queue) > 0:
+			continue
+		case c.closing:
+			return nil
+		}
+		c.wake.Wait()
+	}
+}
+
+func (c *Conn) writeLoop() {
+	w := c.np.Writer()
+	for {
+		b := c.take()
+		if b == nil {
+			break
+		}
+		if _, err := w.WriteBinary(b); err != nil {
+			break
+		}
+		if err := w.Flush(); err != nil {
+			break
+		}
+	}
+	c.Close()
+}
+
+func init() {
+	// One core: one poller is enough, and a second one would only trade the core with the first.
+	_ = netpoll.Configure(netpoll.Config{PollerNum: 1})
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,115 @@
+// Package metrics is the one set of counters of the agent. They are printed on request and at exit, and pushed
+// by remote write under the same names.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// Counter is a figure that only grows, or with Set a gauge.
+type Counter struct {
+	Name, Help string
+	Gauge      bool
+	v          atomic.Int64
+}
+
+// Inc adds one.
+func (c *Counter) Inc() { c.v.Add(1) }
+
+// Add adds n.
+func (c *Counter) Add(n int64) { c.v.Add(n) }
+
+// Set gives a gauge its value.
+func (c *Counter) Set(n int64) { c.v.Store(n) }
+
+// Value is the present value.
+func (c *Counter) Value() int64 { return c.v.Load() }
+
+// Set is the counters of one agent.
+type Set struct {
+	Offered, Answered, Refused, Failed, Abandoned, Released *Counter
+	Standing, Pending, QueueLength                          *Counter
+	Attempts, AttemptsFull, AttemptsFailed, AttemptsTimeout *Counter
+	AttemptsReset, AttemptsUnreached, AttemptsTakenBack     *Counter
+	Probes, Reports                                         *Counter
+	LinksUp, LinksLost, DialsFailed, SilentLinks            *Counter
+	ListEvents, ListGaps, ListReconnects                    *Counter
+	Malformed, Stray, Repeated                              *Counter
+	Violations, Panics, LateAnswers                         *Counter
+	PluginCalls, PluginRefusals, PluginFailures             *Counter
+	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts *Counter
+	PushesOK, PushesFailed                                  *Counter
+
+	all []*Counter
+}
+
+// New makes a set with every counter at zero.
+func New() *Set {
+	s := &Set{}
+	add := func(p **Counter, name, help string) {
+		*p = &Counter{Name: "tinbeam_" + name, Help: help}
+		s.all = append(s.all, *p)
+	}
+	gauge := func(p **Counter, name, help string) {
+		add(p, name, help)
+		(*p).Gauge = true
+	}
+	add(&s.Offered, "calls_offered_total", "calls taken in")
+	add(&s.Answered, "calls_answered_total", "calls that stood")
+	add(&s.Refused, "calls_refused_total", "calls refused: trying again is harmless")
+	add(&s.Failed, "calls_failed_total", "calls that ended as failed")
+	add(&s.Abandoned, "calls_abandoned_total", "calls given up by their callers before the answer")
+	add(&s.Released, "calls_released_total", "standing calls that came to an end")
+	gauge(&s.Standing, "calls_standing", "calls that stand now")
+	gauge(&s.Pending, "calls_pending", "calls that wait for their final answer now")
+	gauge(&s.QueueLength, "core_queue_length", "events that wait for the core")
+	add(&s.Attempts, "attempts_total", "set-ups handed to a far end")
+	add(&s.AttemptsFull, "attempts_full_total", "attempts that never ran: no circuit, turned back or full")
+	add(&s.AttemptsFailed, "attempts_failed_total", "attempts that ended as an error")
+	add(&s.AttemptsTimeout, "attempts_timed_out_total", "attempts given up for want of an answer")
+	add(&s.AttemptsReset, "attempts_reset_total", "attempts that broke on their way")
+	add(&s.AttemptsUnreached, "attempts_unreached_total", "attempts for which no connection came up")
+	add(&s.AttemptsTakenBack, "attempts_taken_back_total", "set-ups withdrawn before a byte was written")
+	add(&s.Probes, "probes_total", "tests sent to far ends")
+	add(&s.Reports, "reports_total", "load and group reports heard")
+	add(&s.LinksUp, "links_up_total", "connections opened to far ends")
+	add(&s.LinksLost, "links_lost_total", "connections to far ends that ended")
+	add(&s.DialsFailed, "dials_failed_total", "connections to far ends that did not come up")
+	add(&s.SilentLinks, "links_silent_total", "connections closed because nothing was heard on them")
+	add(&s.ListEvents, "list_events_total", "events of the change log applied")
+	add(&s.ListGaps, "list_gaps_total", "events of the change log that were missed or came twice")
+	add(&s.ListReconnects, "list_reconnects_total", "connections opened to the change log")
+	add(&s.Malformed, "malformed_total", "messages that could not be read")
+	add(&s.Stray, "stray_total", "messages about calls or transactions that are not known")
+	add(&s.Repeated, "repeated_total", "messages that came again and were not acted on twice")
+	add(&s.Violations, "violations_total", "conditions that must hold and did not")
+	add(&s.Panics, "panics_total", "decisions that failed")
+	add(&s.LateAnswers, "late_answers_total", "final answers that the core gave itself at the deadline")
+	add(&s.PluginCalls, "plugin_calls_total", "events shown to the plug-in")
+	add(&s.PluginRefusals, "plugin_refusals_total", "calls that the plug-in refused")
+	add(&s.PluginFailures, "plugin_failures_total", "plug-in calls that failed or ran too long")
+	add(&s.MGCPIn, "mgcp_commands_in_total", "MGCP commands taken in")
+	add(&s.MGCPOut, "mgcp_commands_out_total", "MGCP commands sent")
+	add(&s.MGCPResent, "mgcp_resent_total", "MGCP commands sent again")
+	add(&s.MGCPReplayed, "mgcp_replayed_total", "MGCP commands answered from the response cache")
+	add(&s.MGCPRestarts, "mgcp_restarts_total", "RSIP messages from gateways")
+	add(&s.PushesOK, "remote_writes_total", "remote writes accepted")
+	add(&s.PushesFailed, "remote_writes_failed_total", "remote writes that failed")
+	return s
+}
+
+// All is every counter, in a fixed order.
+func (s *Set) All() []*Counter { return s.all }
+
+// Print writes the set in the text form that Prometheus reads.
+func (s *Set) Print(w io.Writer) {
+	for _, c := range s.all {
+		kind := "counter"
+		if c.Gauge {
+			kind = "gauge"
+		}
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", c.Name, c.Help, c.Name, kind, c.Name, c.Value())
+	}
+}
--- /dev/null
+++ b/internal/platform/fars.go
@@ -0,0 +1,484 @@
+package platform
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	"tinbeam/internal/agent"
+	"tinbeam/internal/changelog"
+	"tinbeam/internal/farend"
+	"tinbeam/internal/link"
+)
+
+// Figures of the connections to far ends.
+const (
+	linksWanted  = 2 // kept ready to each far end: one that breaks leaves the other to go on with
+	redialPause  = 200 * time.Millisecond
+	sweepEvery   = 250 * time.Millisecond
+	testAfter    = 2 * time.Second // a far end with work of ours that says nothing for so long is tested
+	silentAfter  = 5 * time.Second // and given up after this: what stood there must be released within 8 s of its end
+	releasesMost = 1024            // releases kept for a far end that cannot be reached
+)
+
+// Fars is the far side: connections to the far ends in the list, kept ready.
+type Fars struct {
+	core    *agent.Core
+	log     *zap.Logger
+	timeout time.Duration // for a connection to come up
+	byID    map[uint32]*far
+	changed func()
+}
+
+// far is one far end.
+type far struct {
+	fars     *Fars
+	id       uint32
+	addr     string
+	mode     tinbeam.Mode
+	since    time.Duration
+	conns    []*farConn
+	dialing  bool
+	redialAt time.Duration
+	told     bool // the state of its group has come, or no connection came up
+	heard    time.Duration
+	testing  bool
+	attempts map[string]*agent.Attempt // out or standing, by the id of the call
+	waiting  []*agent.Attempt          // for a connection
+	releases [][]byte                  // for a connection
+	checks   map[string]time.Duration
+}
+
+// farConn is one connection; its methods Data and Closed run outside the loop and only post.
+type farConn struct {
+	far  *far
+	link *link.Conn
+	open int
+}
+
+// leg is what this front keeps of an attempt.
+type leg struct {
+	conn   *farConn
+	ticket link.Ticket
+	expire *agent.Timer // while it waits for a connection
+}
+
+// NewFars makes the far side; changed is called when a far end becomes ready for calls.
+func NewFars(core *agent.Core, log *zap.Logger, timeout time.Duration, changed func()) *Fars {
+	if timeout <= 0 {
+		timeout = 500 * time.Millisecond
+	}
+	f := &Fars{core: core, log: log, timeout: timeout, byID: map[uint32]*far{}, changed: changed}
+	var sweep func()
+	sweep = func() {
+		for _, id := range slices.Sorted(maps.Keys(f.byID)) {
+			f.byID[id].sweep()
+		}
+		core.After(sweepEvery, sweep)
+	}
+	core.After(sweepEvery, sweep)
+	return f
+}
+
+// Listed takes an event of the list and hands it on to the core.
+func (f *Fars) Listed(version uint64, kind tinbeam.ListKind, entries []changelog.Entry) {
+	listed := map[uint32]bool{}
+	plain := make([]tinbeam.Entry, len(entries))
+	var changed []*far
+	for i, e := range entries {
+		plain[i] = e.Entry
+		listed[e.Switch] = true
+		x := f.byID[e.Switch]
+		if x == nil {
+			if e.Mode == tinbeam.Gone {
+				continue
+			}
+			x = &far{fars: f, id: e.Switch, attempts: map[string]*agent.Attempt{},
+				checks: map[string]time.Duration{}, heard: f.core.Now()}
+			f.byID[e.Switch] = x
+		}
+		if x.addr != e.Addr {
+			x.addr = e.Addr // its connections lead to the old address: calls set up there are lost with it
+			x.hangUp()
+		}
+		x.mode = e.Mode
+		if e.OnlineSince > x.since {
+			x.since = e.OnlineSince
+		}
+		changed = append(changed, x)
+	}
+	if kind != tinbeam.ListDelta {
+		for _, id := range slices.Sorted(maps.Keys(f.byID)) {
+			if x := f.byID[id]; !listed[id] {
+				x.mode = tinbeam.Gone
+				changed = append(changed, x)
+			}
+		}
+	}
+	// The core hears first, so that the module's next choices are made on the new list; nothing is written in between.
+	f.core.Listed(version, kind, plain, f)
+	for _, x := range changed {
+		x.follow()
+	}
+}
+
+// follow brings the attempts and connections in line with the list.
+func (x *far) follow() {
+	if x.mode != tinbeam.Ready {
+		// Guards the rule on drains: what waits to be written must not go out late.
+		for _, a := range x.sorted() {
+			l := a.Leg.(*leg)
+			if !a.Standing() && (l.conn == nil || l.ticket.Withdraw()) {
+				x.fars.core.M.AttemptsTakenBack.Inc()
+				x.forget(a)
+				x.fars.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+			}
+		}
+	}
+	if x.mode == tinbeam.Gone {
+		x.cut(x.fars.core.Now())
+		x.hangUp()
+		delete(x.fars.byID, x.id)
+		return
+	}
+	// A process that started anew has lost what it had; what was set up since is its own.
+	x.cut(x.since)
+	x.dial()
+}
+
+func (x *far) sorted() []*agent.Attempt {
+	out := make([]*agent.Attempt, 0, len(x.attempts))
+	for _, uid := range slices.Sorted(maps.Keys(x.attempts)) {
+		out = append(out, x.attempts[uid])
+	}
+	return out
+}
+
+// cut ends all attempts that were sent before a time.
+func (x *far) cut(before time.Duration) {
+	for _, a := range x.sorted() {
+		if a.SentAt < before || before == x.fars.core.Now() {
+			x.forget(a)
+			x.fars.core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
+		}
+	}
+}
+
+// hangUp closes the connections. Their set-ups are ended as their ends are told.
+func (x *far) hangUp() {
+	for _, c := range slices.Clone(x.conns) {
+		c.link.Close()
+	}
+}
+
+func (x *far) forget(a *agent.Attempt) {
+	if x.attempts[a.Call.ID] == a {
+		delete(x.attempts, a.Call.ID)
+	}
+	l := a.Leg.(*leg)
+	x.fars.core.Stop(l.expire)
+	if l.conn == nil {
+		x.waiting = slices.DeleteFunc(x.waiting, func(w *agent.Attempt) bool { return w == a })
+	} else {
+		l.conn.open--
+	}
+}
+
+// SetUp sends a set-up, or keeps it until a connection is up, no longer than one may take.
+func (f *Fars) SetUp(a *agent.Attempt) {
+	l := &leg{}
+	a.Leg = l
+	x := f.byID[a.Switch]
+	if x == nil {
+		f.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+		return
+	}
+	x.attempts[a.Call.ID] = a
+	if c := x.best(); c != nil {
+		c.launch(a)
+		return
+	}
+	x.waiting = append(x.waiting, a)
+	l.expire = f.core.After(f.timeout, func() {
+		x.forget(a)
+		f.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+	})
+	x.redialAt = 0
+	x.dial()
+}
+
+// best is the connection with the fewest set-ups and calls on it.
+func (x *far) best() *farConn {
+	var best *farConn
+	for _, c := range x.conns {
+		if best == nil || c.open < best.open {
+			best = c
+		}
+	}
+	return best
+}
+
+func (c *farConn) launch(a *agent.Attempt) {
+	k, l := a.Call, a.Leg.(*leg)
+	core := c.far.fars.core
+	left := max(a.Left-(core.Now()-a.SentAt), time.Millisecond)
+	m := &farend.Line{Kind: farend.Launch, UID: k.ID, Body: k.Description, Meta: map[string]string{
+		"class": core.Set.Classes[k.Class].Name, "left": strconv.FormatInt(left.Milliseconds(), 10)}}
+	if k.Number != "" {
+		m.Meta["key"] = k.Number
+	}
+	l.conn = c
+	c.open++
+	c.link.Send(m.Append(nil), &l.ticket) // if it is refused, the connection's end is told and ends the attempt
+}
+
+// GiveUp takes a set-up back, or calls it off.
+func (f *Fars) GiveUp(a *agent.Attempt) {
+	l := a.Leg.(*leg)
+	x := f.byID[a.Switch]
+	if x == nil {
+		return
+	}
+	x.forget(a)
+	if l.conn == nil || l.ticket.Withdraw() {
+		f.core.M.AttemptsTakenBack.Inc()
+		return
+	}
+	l.conn.link.Send((&farend.Line{Kind: farend.Stop, UID: a.Call.ID, Cause: farend.CauseNormal}).Append(nil), nil)
+}
+
+// Release ends a call that stands: on the connection of its set-up, or any other, or the next.
+func (f *Fars) Release(a *agent.Attempt, cause int) {
+	x := f.byID[a.Switch]
+	if x == nil {
+		return
+	}
+	x.forget(a)
+	m := (&farend.Line{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
+	if c := a.Leg.(*leg).conn; c != nil && c.link.Send(m, nil) {
+		return
+	}
+	if c := x.best(); c != nil && c.link.Send(m, nil) {
+		return
+	}
+	if len(x.releases) < releasesMost {
+		x.releases = append(x.releases, m)
+	}
+}
+
+// Probe tests a far end.
+func (f *Fars) Probe(id uint32) {
+	x := f.byID[id]
+	if x == nil || !x.check() {
+		f.core.Probed(id, tinbeam.ConnectFailed, 0, nil)
+	}
+}
+
+func (x *far) check() bool {
+	c := x.best()
+	if c == nil {
+		x.dial()
+		return false
+	}
+	uid := fmt.Sprintf("%016x", rand.Uint64())
+	x.checks[uid] = x.fars.core.Now()
+	return c.link.Send((&farend.Line{Kind: farend.Check, UID: uid}).Append(nil), nil)
+}
+
+// dial opens a connection where one is wanted. It runs beside the loop and posts what became of it.
+func (x *far) dial() {
+	f := x.fars
+	if x.dialing || len(x.conns) >= linksWanted || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
+		return
+	}
+	x.dialing = true
+	addr := x.addr
+	c := &farConn{far: x}
+	go func() {
+		l, err := link.Dial(addr, f.timeout, c)
+		f.core.Post(func() {
+			x.dialing = false
+			if err == nil && (x.addr != addr || f.byID[x.id] != x) {
+				l.Close()
+				err = fmt.Errorf("the far end has moved")
+			}
+			if err != nil {
+				x.unreached(strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()))
+			} else {
+				x.up(c, l)
+			}
+		})
+	}()
+}
+
+// unreached: a connection did not come up. Refused, it proves that the process is gone, and what stood there.
+func (x *far) unreached(refused bool) {
+	core := x.fars.core
+	core.M.DialsFailed.Inc()
+	x.redialAt = core.Now() + redialPause
+	x.ready()
+	if len(x.conns) > 0 {
+		return
+	}
+	if refused {
+		for _, a := range slices.Clone(x.waiting) {
+			x.forget(a)
+			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+		}
+		x.cut(core.Now())
+	}
+}
+
+// ready tells once that the state of the group has come, or cannot.
+func (x *far) ready() {
+	if !x.told {
+		x.told = true
+		x.fars.changed()
+	}
+}
+
+func (x *far) up(c *farConn, l *link.Conn) {
+	core := x.fars.core
+	c.link = l
+	x.conns = append(x.conns, c)
+	x.heard, x.testing = core.Now(), false
+	core.M.LinksUp.Inc()
+	for _, m := range x.releases {
+		l.Send(m, nil)
+	}
+	x.releases = nil
+	waiting := x.waiting
+	x.waiting = nil
+	for _, a := range waiting {
+		core.Stop(a.Leg.(*leg).expire)
+		c.launch(a)
+	}
+	x.dial()
+}
+
+// Data reads lines.
+func (c *farConn) Data(_ *link.Conn, b []byte) (int, error) {
+	core := c.far.fars.core
+	used := 0
+	for {
+		m, n, err := farend.Parse(b[used:])
+		used += n
+		switch {
+		case err != nil:
+			core.M.Malformed.Inc()
+			if n == 0 {
+				return used, err
+			}
+		case n == 0:
+			return used, nil
+		case m != nil:
+			core.Post(func() { c.heard(m) })
+		}
+	}
+}
+
+// Closed tells that the connection has ended.
+func (c *farConn) Closed(*link.Conn) { c.far.fars.core.Post(c.lost) }
+
+// lost: the set-ups that are open on a connection are given up with it; what stands belongs to no connection.
+func (c *farConn) lost() {
+	x := c.far
+	core := x.fars.core
+	if !slices.Contains(x.conns, c) {
+		return // it came up when it was not wanted any more
+	}
+	core.M.LinksLost.Inc()
+	x.conns = slices.DeleteFunc(x.conns, func(o *farConn) bool { return o == c })
+	for _, a := range x.sorted() {
+		l := a.Leg.(*leg)
+		if l.conn != c || a.Standing() {
+			continue
+		}
+		x.forget(a)
+		if l.ticket.Withdraw() { // not a byte of it was written: it never ran
+			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+		} else {
+			core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
+		}
+	}
+	x.dial()
+}
+
+// heard takes one line.
+func (c *farConn) heard(m *farend.Line) {
+	x := c.far
+	core := x.fars.core
+	x.heard, x.testing = core.Now(), false
+	a := x.attempts[m.UID]
+	switch m.Kind {
+	case farend.Staging, farend.Stopped:
+	case farend.Running:
+		if a == nil {
+			core.M.Stray.Inc() // it crossed the stop of its set-up, which ends it at the far end
+			return
+		}
+		core.Answered(a, m.Body)
+	case farend.Stop:
+		if a == nil {
+			core.M.Stray.Inc()
+			return
+		}
+		if a.Standing() {
+			c.link.Send((&farend.Line{Kind: farend.Stopped, UID: m.UID}).Append(nil), nil)
+		}
+		x.forget(a)
+		core.Ended(a, m.Ending(a.Standing()), m.Note(), m.Report(core.Set.ReportFields), m.Cause)
+	case farend.Usage:
+		if r := m.Report(core.Set.ReportFields); r != nil {
+			core.Report(x.id, r)
+		}
+		x.ready()
+	case farend.Checked:
+		at, ok := x.checks[m.UID]
+		if !ok {
+			core.M.Stray.Inc()
+			return
+		}
+		delete(x.checks, m.UID)
+		code := tinbeam.OK
+		if m.Cause != farend.CausePassed {
+			code = tinbeam.Failed
+		}
+		core.Probed(x.id, code, core.Now()-at, m.Report(core.Set.ReportFields))
+	default:
+		core.M.Malformed.Inc()
+	}
+}
+
+// sweep looks after what only time changes: connections to open, and far ends that have fallen silent.
+func (x *far) sweep() {
+	core := x.fars.core
+	x.dial()
+	for uid, at := range x.checks {
+		if core.Now()-at > silentAfter {
+			delete(x.checks, uid)
+		}
+	}
+	quiet := core.Now() - x.heard
+	if len(x.attempts) == 0 {
+		return
+	}
+	switch {
+	case quiet > silentAfter:
+		// A machine that vanished or is cut off says nothing, and its connections stay open.
+		x.fars.log.Warn("far end is silent", zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)))
+		core.M.SilentLinks.Inc()
+		x.cut(core.Now())
+		x.hangUp()
+	case quiet > testAfter && !x.testing:
+		x.testing = x.check()
+	}
+}
