--- a/cmd/tinbeam/serve.go
+++ b/cmd/tinbeam/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,23 +9,13 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"tinbeam"
-	"tinbeam/internal/agent"
+	"tinbeam/internal/app"
 	"tinbeam/internal/config"
-	"tinbeam/internal/link"
 	"tinbeam/internal/metrics"
-	"tinbeam/internal/platform"
-)
-
-const (
-	readyAfter = time.Second            // the agent takes calls at the latest then, whatever it could reach
-	termStay   = 800 * time.Millisecond // what still comes after SIGTERM comes within 0.6 s; it is taken and answered
-	termMost   = 12 * time.Second       // longer than any deadline: SIGKILL will have come
 )
 
 func newLog(level string) (*zap.Logger, error) {
@@ -50,32 +39,47 @@
 	runtime.GOMAXPROCS(2) // one for the core's goroutine, one for the poller, which would else wait for it
 }
 
-func load(o options) (*config.Config, error) {
+func load(o options) (*config.Config, *config.Operator, error) {
 	if o.config == "" {
-		return nil, errors.New("no configuration: name one with --config or BALANCER_CONFIG")
+		return nil, nil, errors.New("no configuration: name one with --config or BALANCER_CONFIG")
+	}
+	cfg, err := config.Load(o.config)
+	if err != nil {
+		return nil, nil, err
 	}
-	return config.Load(o.config)
+	op, err := config.LoadOperator(o.operator, cfg)
+	return cfg, op, err
 }
 
 func checkConfig(o options, out io.Writer) error {
-	c, err := load(o)
+	c, op, err := load(o)
 	if err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "%s listens on %s; own number %d of %d, %d classes, %d events known, change log %q\n",
 		c.Name, c.Listen, c.Settings.Index, c.Settings.Replicas, len(c.Settings.Classes), len(c.Known), c.Changelog)
+	if op.MGCPListen != "" {
+		fmt.Fprintf(out, "mgcp listens on %s for %d gateways\n", op.MGCPListen, len(op.MGCP.Gateways))
+	}
+	if op.Remote != nil {
+		fmt.Fprintf(out, "remote write to %s\n", op.Remote.URL)
+	}
+	if op.Plugin != nil {
+		fmt.Fprintf(out, "plug-in %s\n", op.Plugin.Path)
+	}
 	return nil
 }
 
 func listMetrics(out io.Writer) error {
 	for _, c := range metrics.New().All() {
-		fmt.Fprintf(out, "%-40s %s\n", c.Name, c.Help)
+		fmt.Fprintf(out, "%-36s %s\n", c.Name, c.Help)
 	}
 	return nil
 }
 
+// serve runs the agent. The counters are printed on SIGUSR1 and at the end.
 func serve(o options, out io.Writer) error {
-	cfg, err := load(o)
+	cfg, op, err := load(o)
 	if err != nil {
 		return err
 	}
@@ -86,74 +90,23 @@
 	defer log.Sync()
 	log = log.With(zap.String("agent", cfg.Name))
 	limits(cfg.MemoryMB)
-
-	m := metrics.New()
-	loop := agent.NewLoop(agent.SystemClock())
-	core := agent.New(loop, cfg.Settings, cfg.Seed, m, log, nil)
-	callers := platform.NewCallers(core, log, cfg.Listen)
-	ln, err := link.Listen(cfg.Listen, callers.Accept)
+	a, err := app.New(cfg, op, log)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", cfg.Listen, err)
+		return err
 	}
-	defer ln.Close()
-
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	loop.Post(func() {
-		waits := 1
-		ready := func() {
-			if waits--; waits == 0 {
-				callers.Ready()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGUSR1 {
+				a.M.Print(out)
+			} else {
+				log.Info("ending", zap.String("signal", s.String()))
+				a.Term()
 			}
 		}
-		fars := platform.NewFars(core, log, cfg.ConnectTimeout, ready)
-		for _, n := range standing(cfg) {
-			if n == tinbeam.Ready {
-				waits++
-			}
-		}
-		platform.NewFeed(core, fars, log, cfg.Changelog, cfg.Seq, cfg.Known)
-		ready()
-		loop.After(readyAfter, callers.Ready)
-	})
-	go signals(loop, core, m, out, log, cancel)
-	loop.Run(ctx)
-	m.Print(out)
+	}()
+	a.Run()
+	a.M.Print(out)
 	return nil
 }
-
-// standing is the state of each far end after the events of the start.
-func standing(cfg *config.Config) map[uint32]tinbeam.Mode {
-	modes := map[uint32]tinbeam.Mode{}
-	for _, e := range cfg.Known {
-		for _, n := range e.Entries {
-			modes[n.Switch] = n.Mode
-		}
-	}
-	return modes
-}
-
-// signals prints the counters on SIGUSR1. On SIGTERM or an interrupt the agent goes on taking what comes for as long as
-// something may come, answers all that it took, and ends.
-func signals(loop *agent.Loop, core *agent.Core, m *metrics.Set, out io.Writer, log *zap.Logger, end func()) {
-	c := make(chan os.Signal, 4)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	for s := range c {
-		if s == syscall.SIGUSR1 {
-			m.Print(out)
-			continue
-		}
-		log.Info("ending", zap.String("signal", s.String()))
-		loop.Post(func() {
-			stayed := false
-			leave := func() {
-				if stayed && core.Owed() == 0 {
-					loop.After(50*time.Millisecond, end) // the last answers are on their way to the kernel
-				}
-			}
-			core.WhenIdle(leave)
-			loop.After(termStay, func() { stayed = true; leave() })
-			loop.After(termMost, end)
-		})
-	}
-}
--- a/controller.go
+++ b/controller.go
@@ -110,7 +110,7 @@
 	place           int
 	zone            *exchange // what is known of its district as a whole; the own one never falls silent
 	id              uint32
-	ready           bool
+	ready, leaf     bool // leaf: the end of a way, no tandem
 	since           time.Duration // clock time of its last start; 0: long ago
 	free, size      float64       // circuits of the own group to it, none: size 0; not told: size -1
 	gap             gap
@@ -337,7 +337,7 @@
 				x.id, x.out = n.Switch, nil
 			}
 			was := x.since
-			x.ready, x.since, x.silent, x.least = true, n.OnlineSince, false, c.target
+			x.ready, x.since, x.silent, x.least, x.leaf = true, n.OnlineSince, false, c.target, n.Leaf
 			if x.since != was && x.since > 0 && c.now-x.since < c.set.Rules.Cold {
 				c.warm(x)
 			}
@@ -568,7 +568,7 @@
 	for p, t := range c.places {
 		kind := wayTo(k, d, p)
 		if c.rounds(k, kind) <= 0 || c.ownWait > c.most(c.own.least)*c.round[kind] || t == nil || t == d ||
-			t == c.own || !t.ready || t.silent || t.zone.silent || t.gap.open ||
+			t == c.own || !t.ready || t.leaf || t.silent || t.zone.silent || t.gap.open ||
 			k.tried[p] || c.now < d.blocked[p] || t.free < k.Width+c.reserve(t) || !c.allowed(k, p) {
 			continue
 		}
--- a/interface.go
+++ b/interface.go
@@ -75,6 +75,7 @@
 	Mode        Mode
 	Scale       float64
 	OnlineSince time.Duration // clock time of the last start; 0: long ago
+	Leaf        bool          // the end of a way, as a gateway is: no call for another place goes through it
 }
 
 // ListKind tells what a Topology event holds.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,8 +114,7 @@
 // place is a far end as the list has it.
 type place struct {
 	far   Far
-	mode  tinbeam.Mode
-	since time.Duration
+	entry tinbeam.Entry
 }
 
 // New makes a core that knows no far end.
@@ -269,7 +270,7 @@
 	if !must.Must(k.out == nil, v, "call %s has no other attempt out", k.ID) ||
 		!must.Must(c.Now() >= k.notBefore, v, "call %s: the release is awaited", k.ID) ||
 		!must.Must(c.Set.MostTries == 0 || k.tries <= c.Set.MostTries, v, "call %s: tries are left", k.ID) ||
-		!must.Must(p != nil && p.mode == tinbeam.Ready, v, "far end %08x is ready", a.Switch) {
+		!must.Must(p != nil && p.entry.Mode == tinbeam.Ready, v, "far end %08x is ready", a.Switch) {
 		moot()
 		return
 	}
@@ -395,22 +396,22 @@
 		Code: tinbeam.Cancelled})
 }
 
-// Listed brings an event of the list. Each entry names the side that its far end is reached on.
+// Listed brings an event of the list of one far side. To the module all sides are one list, so a whole list of one
+// side is completed with what the others have.
 func (c *Core) Listed(version uint64, kind tinbeam.ListKind, entries []tinbeam.Entry, far Far) {
-	now := map[uint32]bool{}
+	listed := map[uint32]bool{}
 	for _, e := range entries {
-		now[e.Switch] = true
-		p := c.places[e.Switch]
-		if p == nil {
-			p = &place{}
-			c.places[e.Switch] = p
-		}
-		p.far, p.mode, p.since = far, e.Mode, e.OnlineSince
+		listed[e.Switch] = true
+		c.places[e.Switch] = &place{far, e}
 	}
 	if kind != tinbeam.ListDelta {
-		for id, p := range c.places {
-			if !now[id] && p.far == far {
-				p.mode = tinbeam.Gone
+		entries = slices.Clone(entries)
+		for _, id := range slices.Sorted(maps.Keys(c.places)) {
+			p := c.places[id]
+			if !listed[id] && p.far == far {
+				p.entry.Mode = tinbeam.Gone
+			} else if !listed[id] {
+				entries = append(entries, p.entry)
 			}
 		}
 	}
@@ -420,7 +421,7 @@
 // Mode is the state of a far end in the list.
 func (c *Core) Mode(id uint32) tinbeam.Mode {
 	if p := c.places[id]; p != nil {
-		return p.mode
+		return p.entry.Mode
 	}
 	return tinbeam.Gone
 }
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,152 @@
+// Package app puts the parts of the call agent together: one loop, the core on it, and the fronts before it.
+package app
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	"tinbeam/internal/agent"
+	"tinbeam/internal/config"
+	"tinbeam/internal/link"
+	"tinbeam/internal/metrics"
+	"tinbeam/internal/mgcp"
+	"tinbeam/internal/platform"
+	"tinbeam/internal/plugin"
+)
+
+const (
+	readyAfter = time.Second            // the agent takes calls at the latest then, whatever it could reach
+	termStay   = 800 * time.Millisecond // what still comes after SIGTERM comes within 0.6 s; it is taken and answered
+	termMost   = 12 * time.Second       // longer than any deadline: SIGKILL will have come
+)
+
+// App is one call agent.
+type App struct {
+	M      *metrics.Set
+	loop   *agent.Loop
+	core   *agent.Core
+	log    *zap.Logger
+	ln     *link.Listener
+	udp    *mgcp.Socket
+	remote *metrics.Remote
+	once   sync.Once
+	ctx    context.Context
+	end    context.CancelFunc
+}
+
+// New opens the sockets and sets all up; nothing is handled before Run.
+func New(cfg *config.Config, op *config.Operator, log *zap.Logger) (*App, error) {
+	a := &App{M: metrics.New(), loop: agent.NewLoop(agent.SystemClock()), log: log, remote: op.Remote}
+	a.ctx, a.end = context.WithCancel(context.Background())
+	var hook agent.Hook
+	if op.Plugin != nil {
+		p, err := plugin.Load(*op.Plugin, a.loop.Now, a.M, log)
+		if err != nil {
+			return nil, err
+		}
+		hook = p
+	}
+	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, a.M, log, hook)
+	callers := platform.NewCallers(a.core, log, cfg.Listen)
+	var err error
+	if a.ln, err = link.Listen(cfg.Listen, callers.Accept); err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
+	}
+	if op.MGCPListen != "" {
+		if a.udp, err = mgcp.Listen(op.MGCPListen); err != nil {
+			a.ln.Close()
+			return nil, fmt.Errorf("mgcp: listen on %s: %w", op.MGCPListen, err)
+		}
+	}
+	a.loop.Post(func() { a.begin(cfg, op, callers) })
+	return a, nil
+}
+
+// begin runs on the loop: it opens the connections and passes tests once each far end has told of its group.
+func (a *App) begin(cfg *config.Config, op *config.Operator, callers *platform.Callers) {
+	waits := 1
+	ready := func() {
+		if waits--; waits == 0 {
+			callers.Ready()
+		}
+	}
+	for _, mode := range listed(cfg) {
+		if mode == tinbeam.Ready {
+			waits++
+		}
+	}
+	fars := platform.NewFars(a.core, a.log, cfg.ConnectTimeout, ready)
+	platform.NewFeed(a.core, fars, a.log, cfg.Changelog, cfg.Seq, cfg.Known)
+	if a.udp != nil {
+		front := mgcp.New(a.core, a.log, op.MGCP, cfg.Seed, a.udp.Send)
+		go a.udp.Serve(a.loop, a.M, front.Datagram)
+	}
+	ready()
+	a.loop.After(readyAfter, callers.Ready)
+}
+
+// listed is the state of each far end after the events of the start.
+func listed(cfg *config.Config) map[uint32]tinbeam.Mode {
+	modes := map[uint32]tinbeam.Mode{}
+	for _, e := range cfg.Known {
+		for _, n := range e.Entries {
+			modes[n.Switch] = n.Mode
+		}
+	}
+	return modes
+}
+
+// Addr is where callers connect.
+func (a *App) Addr() string { return a.ln.Addr() }
+
+// GatewayAddr is where gateways send to; "" without that front.
+func (a *App) GatewayAddr() string {
+	if a.udp == nil {
+		return ""
+	}
+	return a.udp.Addr().String()
+}
+
+// Run serves until Term has run its course or Kill is called.
+func (a *App) Run() {
+	var pushes sync.WaitGroup
+	if a.remote != nil {
+		pushes.Add(1)
+		go func() {
+			defer pushes.Done()
+			a.remote.Run(a.ctx, a.M, func(err error) { a.log.Warn("remote write failed", zap.Error(err)) })
+		}()
+	}
+	a.loop.Run(a.ctx)
+	a.ln.Close()
+	if a.udp != nil {
+		a.udp.Close()
+	}
+	pushes.Wait()
+}
+
+// Term ends the agent in order: it goes on taking what comes for as long as something may come, answers all that it
+// took, and ends.
+func (a *App) Term() {
+	a.once.Do(func() {
+		a.loop.Post(func() {
+			stayed := false
+			leave := func() {
+				if stayed && a.core.Owed() == 0 {
+					a.loop.After(50*time.Millisecond, a.end) // the last answers are on their way to the kernel
+				}
+			}
+			a.core.WhenIdle(leave)
+			a.loop.After(termStay, func() { stayed = true; leave() })
+			a.loop.After(termMost, a.end)
+		})
+	})
+}
+
+// Kill ends the agent at once.
+func (a *App) Kill() { a.end() }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Settings                tinbeam.Settings
+	Zones                   []string
 	ConnectTimeout          time.Duration
 	Seq                     uint64
 	Known                   []changelog.Event
@@ -103,6 +104,7 @@
 		} `json:"permissions"`
 	}
 	_ = json.Unmarshal(f.Settings, &own) // of another shape, they count as absent
+	c.Zones = own.Zones
 	c.ConnectTimeout = wire.Seconds(min(max(own.Permissions.ConnectTimeout, 0), 60))
 	if c.Seq, c.Known, err = changelog.Known(f.Known, own.Zones); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"tinbeam"
+	"tinbeam/internal/changelog"
+	"tinbeam/internal/metrics"
+	"tinbeam/internal/mgcp"
+	"tinbeam/internal/plugin"
+)
+
+// Operator is the operator's file, checked. What it does not set up is off.
+type Operator struct {
+	MGCPListen string
+	MGCP       mgcp.Plan
+	Remote     *metrics.Remote
+	Plugin     *plugin.Options
+}
+
+type operatorFile struct {
+	MGCP *struct {
+		Listen   string `json:"listen"`
+		Digits   string `json:"digit_map"`
+		Gateways []struct {
+			Name    string   `json:"name"`
+			Address string   `json:"address"`
+			ID      string   `json:"id"`
+			Place   int      `json:"place"`
+			Zone    string   `json:"zone"`
+			Lines   []string `json:"lines"`
+			Answer  string   `json:"answer"`
+			Class   string   `json:"class"`
+		} `json:"gateways"`
+		Routes []struct {
+			Prefix string `json:"prefix"`
+			Place  int    `json:"place"`
+		} `json:"routes"`
+	} `json:"mgcp"`
+	Remote *struct {
+		URL    string            `json:"url"`
+		EveryS float64           `json:"every_s"`
+		Labels map[string]string `json:"labels"`
+	} `json:"remote_write"`
+	Plugin *struct {
+		Path     string  `json:"path"`
+		BudgetMS float64 `json:"budget_ms"`
+		MemoryMB int     `json:"memory_mb"`
+	} `json:"plugin"`
+}
+
+// LoadOperator reads the operator's file; no path is an empty one.
+func LoadOperator(path string, c *Config) (*Operator, error) {
+	if path == "" {
+		return &Operator{}, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file: %w", err)
+	}
+	o, err := ParseOperator(raw, c.Settings, c.Zones)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// ParseOperator reads an operator's file. What it misspells is refused, for it would be off without a word.
+func ParseOperator(raw []byte, set tinbeam.Settings, zones []string) (*Operator, error) {
+	var f operatorFile
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		return nil, err
+	}
+	o := &Operator{}
+	if m := f.MGCP; m != nil {
+		if _, err := netip.ParseAddrPort(m.Listen); err != nil {
+			return nil, fmt.Errorf("mgcp: listen: %q is no address with a port", m.Listen)
+		}
+		o.MGCPListen, o.MGCP.Digits = m.Listen, m.Digits
+		names, places := map[string]bool{}, map[int]bool{}
+		for _, g := range m.Gateways {
+			id, err := changelog.ParseID(g.ID)
+			_, addrErr := netip.ParseAddrPort(g.Address)
+			class, zone := indexOf(len(set.Classes), func(i int) bool { return set.Classes[i].Name == g.Class }),
+				indexOf(len(zones), func(i int) bool { return zones[i] == g.Zone })
+			switch {
+			case g.Name == "" || names[strings.ToLower(g.Name)]:
+				return nil, fmt.Errorf("mgcp: gateway %q: the name is empty or taken", g.Name)
+			case addrErr != nil:
+				return nil, fmt.Errorf("mgcp: gateway %s: address %q is no address with a port", g.Name, g.Address)
+			case err != nil:
+				return nil, fmt.Errorf("mgcp: gateway %s: %w", g.Name, err)
+			case g.Place < 0 || g.Place > 1<<16 || places[g.Place] || g.Place == set.Home:
+				return nil, fmt.Errorf("mgcp: gateway %s: place %d is taken or makes no sense", g.Name, g.Place)
+			case len(g.Lines) == 0:
+				return nil, fmt.Errorf("mgcp: gateway %s has no lines", g.Name)
+			case class < 0:
+				return nil, fmt.Errorf("mgcp: gateway %s: class %q is not in the settings", g.Name, g.Class)
+			case zone < 0 && g.Zone != "":
+				return nil, fmt.Errorf("mgcp: gateway %s: zone %q is not in the settings", g.Name, g.Zone)
+			case g.Answer != "ring" && g.Answer != "connect":
+				return nil, fmt.Errorf(`mgcp: gateway %s: answer is "ring" or "connect", not %q`, g.Name, g.Answer)
+			}
+			names[strings.ToLower(g.Name)], places[g.Place] = true, true
+			o.MGCP.Gateways = append(o.MGCP.Gateways, mgcp.Gateway{Name: g.Name, Address: g.Address, ID: id,
+				Place: g.Place, Zone: max(zone, 0), Lines: g.Lines, Rings: g.Answer == "ring", Class: class})
+		}
+		for _, r := range m.Routes {
+			o.MGCP.Routes = append(o.MGCP.Routes, mgcp.Route{Prefix: r.Prefix, Place: r.Place})
+		}
+	}
+	if r := f.Remote; r != nil {
+		if u, err := url.Parse(r.URL); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, fmt.Errorf("remote_write: %q is no http address", r.URL)
+		}
+		o.Remote = &metrics.Remote{URL: r.URL, Every: time.Duration(r.EveryS * float64(time.Second)), Labels: r.Labels}
+	}
+	if p := f.Plugin; p != nil {
+		if p.Path == "" {
+			return nil, fmt.Errorf("plugin: no path")
+		}
+		o.Plugin = &plugin.Options{Path: p.Path, MemoryMB: p.MemoryMB,
+			Budget: time.Duration(p.BudgetMS * float64(time.Millisecond))}
+	}
+	return o, nil
+}
+
+func indexOf(n int, is func(int) bool) int {
+	for i := range n {
+		if is(i) {
+			return i
+		}
+	}
+	return -1
+}
