--- a/controller.go
+++ b/controller.go
@@ -110,7 +110,7 @@
 	place           int
 	zone            *exchange // what is known of its district as a whole; the own one never falls silent
 	id              uint32
-	ready, leaf     bool // leaf: the end of a way, no tandem
+	ready, leaf     bool          // leaf: the end of a way, no tandem
 	since           time.Duration // clock time of its last start; 0: long ago
 	free, size      float64       // circuits of the own group to it, none: size 0; not told: size -1
 	gap             gap
