--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"tinbeam/internal/wire"
+)
+
+const settings = `{"index":2,"replicasOfMe":4,"zone":1,"azs":["birmingham","leicester"],"discovery":"pushed",
+ "classes":[{"name":"order-status","aim":2.0,"hardLimit":9.0,"gain":1,"idempotency":"free"}],
+ "familyInfo":{"shape":"network","homeNo":1,"clearWait":0.3,"widths":[3],"meanHold":[9.9],"allowedPools":[[1,2]]},
+ "permissions":{"connectTimeout":0.5,"probes":true,"mostTries":4,"retryAfter":null},
+ "report":{"fields":["idle","circuits"]},"realms":[]}`
+
+// One parser reads the settings of both worlds: as nested JSON, and as the simulator's lines.
+func TestSettings(t *testing.T) {
+	c, err := Parse([]byte(`{"name":"n3","listen":"127.0.0.1:2905","seed":"8c1f30d27a5be964","limits":{"memory_mb":192},
+		"settings":` + settings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := wire.ParseSettings(strings.Join([]string{"index=2", "replicasOfMe=4", "zone=1", "discovery=pushed",
+		"classes.count=1", "classes.0.name=order-status", "classes.0.aim=2.0", "classes.0.hardLimit=9.0", "classes.0.gain=1",
+		"classes.0.idempotency=free", "familyInfo.shape=network", "familyInfo.homeNo=1", "familyInfo.clearWait=0.3",
+		"familyInfo.widths=3", "familyInfo.meanHold=9.9", "familyInfo.allowedPools.0=1,2", "permissions.probes=true",
+		"permissions.mostTries=4", "report.fields=idle,circuits"}, "\n"))
+	if err != nil || !reflect.DeepEqual(c.Settings, want) {
+		t.Errorf("read %+v\nwant %+v %v", c.Settings, want, err)
+	}
+	if c.Seed != 0x8c1f30d27a5be964 || c.ConnectTimeout != 500*time.Millisecond || c.MemoryMB != 192 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// A configuration that cannot be meant is refused in one plain line.
+func TestBadConfigurations(t *testing.T) {
+	good := map[string]any{"listen": "127.0.0.1:0", "settings": json.RawMessage(settings)}
+	for _, c := range []struct {
+		key   string
+		value any
+		says  string
+	}{
+		{"listen", "here", "listen"}, {"listen", nil, "listen"}, {"changelog", "there", "changelog"},
+		{"settings", nil, "settings"}, {"settings", map[string]any{"index": 1}, "homeNo"},
+		{"settings", map[string]any{"index": 1, "familyInfo": map[string]any{"homeNo": 0}}, "classes"},
+		{"known", map[string]any{"results": []any{map[string]any{"fleet": map[string]any{"instances": []any{
+			map[string]any{"instanceId": "x"}}}}}}, "id"},
+		{"limits", "none", "limits"},
+	} {
+		conf := map[string]any{}
+		for k, v := range good {
+			conf[k] = v
+		}
+		conf[c.key] = c.value
+		raw, _ := json.Marshal(conf)
+		if _, err := Parse(raw); err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s = %v: %v", c.key, c.value, err)
+		}
+	}
+	if _, err := Load("no such file"); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+func TestOperator(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/operator.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse([]byte(`{"listen":"127.0.0.1:0","settings":` + settings + `}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperator(raw, c.Settings, c.Zones)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g := o.MGCP.Gateways[0]; g.ID != 0xd001 || !g.Rings || len(g.Lines) != 4 || o.Remote.Every != 15*time.Second {
+		t.Errorf("%+v %+v", g, o.Remote)
+	}
+	for from, to := range map[string]string{`"name"`: `"nam"`, `"s-0000d001"`: `"d001"`, `"ring"`: `"knock"`,
+		`"place": 101,`: `"place": 1,`, `order-status`: `orders`, `127.0.0.1:2727`: `localhost`, `http:`: `ftp:`,
+		`"birmingham"`: `"leeds"`} {
+		bad := strings.Replace(string(raw), from, to, 1)
+		if bad == string(raw) {
+			t.Fatalf("%s is not in the file", from)
+		}
+		if _, err := ParseOperator([]byte(bad), c.Settings, c.Zones); err == nil {
+			t.Errorf("%s for %s was taken", to, from)
+		}
+	}
+	if o, err := LoadOperator("", c); err != nil || o.MGCPListen != "" || o.Remote != nil || o.Plugin != nil {
+		t.Errorf("without a file: %+v %v", o, err)
+	}
+}
--- /dev/null
+++ b/internal/farend/farend_test.go
@@ -0,0 +1,93 @@
+package farend
+
+import (
+	"errors"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+
+	"tinbeam"
+)
+
+func TestLines(t *testing.T) {
+	b := []byte("\n" + `{"kind":"stop","uid":"9b","meta":{"note":"swamped","waited":1200.5,"load":"x0:12;util:0.5"},"reason":34}` +
+		"\n{\"kind\"")
+	if m, n, err := Parse(b); m != nil || n != 1 || err != nil {
+		t.Fatalf("blank line: %v %d %v", m, n, err)
+	}
+	m, n, err := Parse(b[1:])
+	if err != nil || string(b[1+n:]) != `{"kind"` {
+		t.Fatalf("%v, left %q", err, b[1+n:])
+	}
+	if m.Ending(false) != tinbeam.Full || m.Note() != tinbeam.NoteProcessor+16*1200 {
+		t.Errorf("ending %v note %d", m.Ending(false), m.Note())
+	}
+	if r := m.Report([]string{"idle", "circuits", "load_share", "depth"}); !reflect.DeepEqual(r, []float32{12, -1, 0.5, -1}) {
+		t.Errorf("report %v", r)
+	}
+	l := Line{Kind: Launch, UID: "9b", Meta: map[string]string{"class": "a<b", "left": "15"}, Body: "v=0\r\n"}
+	want := `{"kind":"launch","uid":"9b","meta":{"class":"a<b","left":"15"},"body":"v=0\r\n"}` + "\n"
+	if got := string(l.Append(nil)); got != want {
+		t.Errorf("wrote %q", got)
+	}
+}
+
+func TestEndings(t *testing.T) {
+	for _, c := range []struct {
+		cause         int
+		before, after tinbeam.Code
+	}{
+		{CauseFull, tinbeam.Full, tinbeam.OK}, {CauseBusy, tinbeam.Failed, tinbeam.OK},
+		{CauseFault, tinbeam.Failed, tinbeam.OK}, {CauseMoot, tinbeam.Moot, tinbeam.OK},
+		{CauseReset, tinbeam.Reset, tinbeam.Reset}, {CauseNormal, tinbeam.Failed, tinbeam.OK},
+	} {
+		l := Line{Kind: Stop, Cause: c.cause}
+		if l.Ending(false) != c.before || l.Ending(true) != c.after {
+			t.Errorf("cause %d: %v and %v", c.cause, l.Ending(false), l.Ending(true))
+		}
+	}
+	for note, want := range map[string]uint32{"blocked": 1, "bounced": 2, "far_swamped": 18, "occupied": 4, "": 0} {
+		if got := (&Line{Meta: map[string]string{"note": note}}).Note(); got != want {
+			t.Errorf("note %q: %d", note, got)
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for text, want := range map[string]error{
+		"[]\n": ErrMalform, "{\"kind\":\"\"}\n": ErrMalform, "{\"kind\":\"stop\",\"reason\":1.5}\n": ErrMalform,
+		"{\"kind\":\"stop\",\"meta\":{\"a\":[]}}\n": ErrMalform, strings.Repeat("x", MaxLine): ErrTooLong,
+		strings.Repeat("x", MaxLine) + "\n": ErrTooLong,
+	} {
+		if m, n, err := Parse([]byte(text)); m != nil || !errors.Is(err, want) || errors.Is(err, ErrMalform) && n != len(text) {
+			t.Errorf("%.30q: %v %d %v", text, m, n, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"kind":"usage","uid":"1","meta":{"load":"x0:1;x1:2"}}`+"\n"), 5)
+	f.Fuzz(func(t *testing.T, b []byte, cut int) {
+		m, n, err := Parse(b)
+		if n < 0 || n > len(b) {
+			t.Fatalf("took %d of %d", n, len(b))
+		}
+		if m == nil || err != nil {
+			return
+		}
+		for _, v := range m.Report([]string{"idle", "depth"}) {
+			_ = math.IsNaN(float64(v)) // the module judges readings; any may come
+		}
+		m.Note()
+		if early, _, err := Parse(b[:min(max(cut, 0), n-1)]); early != nil || err != nil {
+			t.Fatalf("cut: %v %v", early, err)
+		}
+		w := m.Append(nil)
+		if len(w) < MaxLine {
+			if again, k, err := Parse(w); err != nil || k != len(w) || again.UID != m.UID {
+				t.Fatalf("%q written and read again: %v", w, err)
+			}
+		}
+	})
+}
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -261,22 +261,25 @@
 	}
 }
 
-// lost ends what a line serves without a word to the gateway, which does not hold it any more.
+// lost ends what a line serves without a word to the gateway, which does not hold it any more. Only a CRCX that is still
+// out may come to it after its restart, and what that makes has to be deleted.
 func (f *Front) lost(l *line, code tinbeam.Code, cause int) {
-	if leg := l.called; leg != nil && !leg.ended {
-		leg.ended, l.called = true, nil
-		f.tx.forget(leg.create)
-		f.core.Ended(leg.at, code, 0, nil, cause)
+	called, caller := l.called, l.caller
+	l.called, l.caller, l.closing = nil, nil, false
+	if called != nil && !called.ended {
+		called.ended = true
+		f.core.Ended(called.at, code, 0, nil, cause)
+		if called.create != nil {
+			f.clear(l, called.at.Call.ID, "", called.create)
+		}
 	}
-	if leg := l.caller; leg != nil {
-		l.caller = nil
-		f.tx.forget(leg.create)
-		if !leg.ended {
-			leg.ended = true
-			f.left(leg, cause)
+	if caller != nil && !caller.ended {
+		caller.ended = true
+		f.left(caller, cause)
+		if caller.create != nil {
+			f.clear(l, caller.id, "", caller.create)
 		}
 	}
-	l.closing = false
 	f.report(l.gw)
 }
 
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -22,6 +22,8 @@
 	byeEvery   = 300 * time.Millisecond
 	byeMost    = 8 * time.Second // a release that could not be delivered in this time is of no more use
 	legsMost   = 20000
+	doneFor    = 30 * time.Second // how long it is remembered that a call was answered
+	doneMost   = 20000
 	testLinger = 700 * time.Millisecond // a test that comes before the agent is ready waits for it so long
 )
 
@@ -34,6 +36,8 @@
 	legs   map[string]*callLeg // by Call-ID
 	conns  []*callerConn       // open, the latest to say something last
 	byes   map[string]*callLeg // releases that no caller has confirmed
+	done   map[string]bool     // calls that are over and had their final answer
+	order  []doneCall          // the same, oldest first
 	tests  []func()
 	branch uint64
 }
@@ -49,6 +53,26 @@
 	endAt  time.Duration
 }
 
+type doneCall struct {
+	id string
+	at time.Duration
+}
+
+// over forgets a call, but not that it was answered. Guards against a set-up that comes again behind its answer: it would
+// run as a new call, and be answered a second time.
+func (s *Callers) over(id string) {
+	delete(s.byes, id)
+	delete(s.legs, id)
+	if !s.done[id] {
+		s.done[id] = true
+		s.order = append(s.order, doneCall{id, s.core.Now()})
+	}
+	for len(s.order) > 0 && (len(s.order) > doneMost || s.core.Now()-s.order[0].at > doneFor) {
+		delete(s.done, s.order[0].id)
+		s.order = s.order[1:]
+	}
+}
+
 // callerConn is one connection; its methods Data and Closed run outside the loop and only post.
 type callerConn struct {
 	side *Callers
@@ -58,7 +82,8 @@
 
 // NewCallers makes the caller side; local is written where a SIP message names the agent.
 func NewCallers(core *agent.Core, log *zap.Logger, local string) *Callers {
-	s := &Callers{core: core, log: log, local: local, legs: map[string]*callLeg{}, byes: map[string]*callLeg{}}
+	s := &Callers{core: core, log: log, local: local, legs: map[string]*callLeg{}, byes: map[string]*callLeg{},
+		done: map[string]bool{}}
 	var sweep func()
 	sweep = func() {
 		s.sweep()
@@ -152,8 +177,7 @@
 	leg := s.legs[id]
 	if m.Status != 0 {
 		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
-			delete(s.byes, id)
-			delete(s.legs, id)
+			s.over(id)
 		}
 		return
 	}
@@ -166,7 +190,7 @@
 		}
 	case "CANCEL":
 		if leg == nil {
-			c.send(m.Answer(481, "Call/Transaction Does Not Exist", ""))
+			s.unknown(c, id, m)
 			return
 		}
 		c.send(m.Answer(200, "OK", ""))
@@ -174,7 +198,7 @@
 			return
 		}
 		if !leg.call.Standing() {
-			delete(s.legs, id)
+			s.over(id)
 			s.core.Abandoned(leg.call)
 			leg.conn.send(leg.invite.Answer(487, "Request Terminated", ""))
 			return
@@ -184,21 +208,19 @@
 		if !leg.acked {
 			s.core.After(ackWait, func() {
 				if s.legs[id] == leg && !leg.acked && leg.bye == nil {
-					delete(s.legs, id)
+					s.over(id)
 					s.core.Hangup(leg.call, 16)
 				}
 			})
 		}
 	case "BYE":
 		if leg == nil {
-			s.core.M.Stray.Inc()
-			c.send(m.Answer(481, "Call/Transaction Does Not Exist", ""))
+			s.unknown(c, id, m)
 			return
 		}
 		c.send(m.Answer(200, "OK", ""))
 		if leg.bye != nil || leg.call.Standing() {
-			delete(s.byes, id)
-			delete(s.legs, id)
+			s.over(id)
 			if leg.bye == nil {
 				s.core.Hangup(leg.call, cause(m.Get("Reason")))
 			}
@@ -211,6 +233,17 @@
 	}
 }
 
+// unknown answers a request about a call that is not there: one that is just over was told so, any other never was.
+func (s *Callers) unknown(c *callerConn, id string, m *sip.Message) {
+	if s.done[id] {
+		s.core.M.Repeated.Inc()
+		c.send(m.Answer(200, "OK", ""))
+		return
+	}
+	s.core.M.Stray.Inc()
+	c.send(m.Answer(481, "Call/Transaction Does Not Exist", ""))
+}
+
 // test answers a test: passed once the agent is ready.
 func (s *Callers) test(c *callerConn, m *sip.Message) {
 	answered := false
@@ -254,6 +287,10 @@
 		}
 		return
 	}
+	if s.done[id] {
+		s.core.M.Repeated.Inc()
+		return
+	}
 	k, err := s.parse(id, m)
 	if err != nil {
 		s.core.M.Malformed.Inc()
@@ -344,7 +381,7 @@
 // Refuse tells the caller that its call does not stand, and when to come back where the settings allow it.
 func (s *Callers) Refuse(k *agent.Call, failed bool, pause time.Duration) {
 	leg := k.Leg.(*callLeg)
-	delete(s.legs, k.ID)
+	s.over(k.ID)
 	status, reason := 503, "Service Unavailable"
 	var more []sip.Header
 	if failed {
@@ -391,6 +428,7 @@
 			return
 		}
 	}
+	leg.byeOn = nil
 }
 
 // sweep sends releases again whose connection closed before they were confirmed, or that found none.
@@ -403,8 +441,7 @@
 	for _, id := range ids {
 		leg := s.byes[id]
 		if s.core.Now()-leg.endAt > byeMost {
-			delete(s.byes, id)
-			delete(s.legs, id)
+			s.over(id)
 		} else if leg.byeOn == nil || leg.byeOn.over {
 			s.sendBye(leg)
 		}
