--- a/cmd/tinbeam/main.go
+++ b/cmd/tinbeam/main.go
@@ -38,7 +38,7 @@
 	flags.SetOutput(out)
 	flags.StringVarP(&o.config, "config", "c", os.Getenv("BALANCER_CONFIG"), "the platform's configuration")
 	flags.StringVarP(&o.operator, "operator", "o", os.Getenv("TINBEAM_OPERATOR"), "the operator's file, if any")
-	flags.StringVarP(&o.level, "log-level", "l", "warn", "debug, info, warn or error")
+	flags.StringVarP(&o.level, "log-level", "l", "info", "debug, info, warn or error")
 	flags.Usage = func() { fmt.Fprint(out, usage, flags.FlagUsages()) }
 	if err := flags.Parse(args); errors.Is(err, pflag.ErrHelp) {
 		return nil
