--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -54,7 +54,7 @@
 	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, a.M, log, hook)
 	callers := platform.NewCallers(a.core, log, cfg.Listen)
 	var err error
-	if a.ln, err = link.Listen(cfg.Listen, callers.Accept); err != nil {
+	if a.ln, err = link.Listen(cfg.Listen, callersMost(cfg.Sockets), callers.Accept); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
 	if op.MGCPListen != "" {
@@ -67,6 +67,15 @@
 	return a, nil
 }
 
+// callersMost is how many connections callers may hold: they keep to a third of the descriptors, so at two thirds
+// something is wrong, and the rest is needed for far ends.
+func callersMost(sockets int) int {
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	return max(sockets*2/3, 16)
+}
+
 // begin runs on the loop: it opens the connections and passes tests once each far end has told of its group.
 func (a *App) begin(cfg *config.Config, op *config.Operator, callers *platform.Callers) {
 	waits := 1
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -35,7 +35,10 @@
 //	@ NAME again                the last datagram that NAME received comes once more
 //	@ NAME close                its connections end
 //	@ NAME shut                 and no new ones are taken
-//	@ list NAME STATE           the change log tells of a far end: 0 ready, 1 draining, 2 gone
+//	@ list NAME STATE ...       the change log tells of a far end: 0 ready, 1 draining, 2 gone
+//	@ resumed N                 the program opens the change log anew and names N as the last event that it has
+//	@ skip                      the change log's next event is lost
+//	@ setting KEY VALUE         a setting that is not as in settings.json
 //	@ count COUNTER N           the counter comes to N
 //	@ term                      the program is told to end; @ ended waits for it
 func TestPlay(t *testing.T) {
@@ -65,6 +68,7 @@
 	log      *part
 	seq      uint64
 	known    []any
+	set      [][2]string
 	gateways []any
 	routes   []any
 	done     chan struct{}
@@ -348,15 +352,40 @@
 	case "start":
 		p.start()
 		return
+	case "setting":
+		p.set = append(p.set, [2]string{words[1], words[2]})
+		return
+	case "skip":
+		p.seq++
+		return
+	case "resumed":
+		want := binary.BigEndian.AppendUint64(nil, uint64(atoi(p, words[1])))
+		p.wait(what, func() bool {
+			if len(p.log.in) < 8 {
+				return false
+			}
+			if got := p.log.in[:8]; !bytes.Equal(got, want) {
+				p.Errorf("%s: but it names %x", what, got)
+			}
+			p.log.in = p.log.in[8:]
+			return true
+		})
+		return
 	case "list":
 		x := p.parts[words[1]]
 		p.seq++
+		var started uint64
+		if o := options(words[3:]); o["id"] != "" {
+			x.id = uint32(atoi(p, o["id"]))
+		} else if o["started"] == "now" {
+			started = uint64(time.Now().UnixMilli())
+		}
 		addr := x.ln.Addr().(*net.TCPAddr)
 		b := binary.BigEndian.AppendUint64([]byte{0, 0, 0, 9 + 27}, p.seq)
 		b = binary.BigEndian.AppendUint32(append(b, 2), x.id)
 		b = binary.BigEndian.AppendUint16(append(b, addr.IP.To4()...), uint16(addr.Port))
 		b = binary.BigEndian.AppendUint16(append(b, byte(atoi(p, words[2])), 0, 0), uint16(x.place))
-		b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, 1000), 0)
+		b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, 1000), started)
 		p.wait("the change log's reader", func() bool { return len(p.log.conns) > 0 })
 		p.mu.Lock()
 		c := p.log.conns[0]
@@ -496,6 +525,9 @@
 	if err != nil {
 		p.Fatal(err)
 	}
+	for _, kv := range p.set {
+		raw = regexp.MustCompile(`"`+kv[0]+`": [^,}]*`).ReplaceAll(raw, []byte(`"`+kv[0]+`": `+kv[1]))
+	}
 	conf, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1",
 		"changelog": p.log.ln.Addr().String(), "settings": json.RawMessage(raw),
 		"known": map[string]any{"seq": 1, "results": []any{map[string]any{"seq": 1,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// The files that the README names hold together.
+func TestDeployFiles(t *testing.T) {
+	c, err := Load("../../deploy/config.json")
+	if err != nil || len(c.Settings.Classes) != 3 || len(c.Known[0].Entries) != 2 {
+		t.Fatalf("%+v %v", c, err)
+	}
+	if _, err := LoadOperator("../../deploy/operator.json", c); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestOperator(t *testing.T) {
 	raw, err := os.ReadFile("../../deploy/operator.json")
 	if err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -98,18 +98,21 @@
 
 // Listener takes connections in.
 type Listener struct {
+	open atomic.Int64
 	ln   net.Listener
 	loop netpoll.EventLoop
 	done chan error
 }
 
-// Listen opens addr; accept gives each new connection its events.
-func Listen(addr string, accept func() Events) (*Listener, error) {
+// Listen opens addr; accept gives each new connection its events. More connections than most are closed at once: the
+// descriptors that are left belong to the far ends.
+func Listen(addr string, most int, accept func() Events) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	type key struct{}
+	l := &Listener{ln: ln, done: make(chan error, 1)}
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error {
 			c, ok := ctx.Value(key{}).(*Conn)
@@ -119,13 +122,22 @@
 			return c.onRequest(ctx, np)
 		},
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
+			l.open.Add(1)
+			_ = np.AddCloseCallback(func(netpoll.Connection) error {
+				l.open.Add(-1)
+				return nil
+			})
+			if l.open.Load() > int64(most) {
+				_ = np.Close()
+				return context.Background()
+			}
 			return context.WithValue(context.Background(), key{}, attach(np, accept()))
 		}))
 	if err != nil {
 		ln.Close()
 		return nil, err
 	}
-	l := &Listener{ln: ln, loop: loop, done: make(chan error, 1)}
+	l.loop = loop
 	go func() { l.done <- loop.Serve(ln) }()
 	return l, nil
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -11,6 +11,27 @@
 func (q quiet) Data(_ *Conn, b []byte) (int, error) { return len(b), nil }
 func (q quiet) Closed(*Conn)                        { close(q.closed) }
 
+// pair is a connection and its other side.
+func pair(t *testing.T) (*Conn, net.Conn, quiet) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ev := quiet{make(chan struct{})}
+	c, err := Dial(ln.Addr().String(), 10*time.Second, ev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	return c, peer, ev
+}
+
 // Guards what tells a process that died from a machine that is cut off: only the first refuses connections.
 func TestRefused(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -31,20 +52,7 @@
 
 // What is withdrawn before it is written never leaves; what is behind it does, and the end is told once.
 func TestWithdraw(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	ev := quiet{make(chan struct{})}
-	c, err := Dial(ln.Addr().String(), 10*time.Second, ev)
-	if err != nil {
-		t.Fatal(err)
-	}
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, peer, ev := pair(t)
 	var a, b Ticket
 	if !a.Withdraw() || a.Withdraw() {
 		t.Error("a waiting message is withdrawn once")
@@ -63,18 +71,38 @@
 	}
 }
 
-// A peer that does not read must not hold more than its share of memory: the connection is ended.
-func TestPeerThatDoesNotRead(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// Guards the descriptors: more connections than allowed are closed at once, and the others go on.
+func TestConnectionsBounded(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", 1, func() Events { return quiet{make(chan struct{})} })
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	ev := quiet{make(chan struct{})}
-	c, err := Dial(ln.Addr().String(), 10*time.Second, ev)
+	defer l.Close()
+	first, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	for l.open.Load() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	second, err := net.Dial("tcp", l.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer second.Close()
+	if n, err := second.Read(make([]byte, 1)); err == nil {
+		t.Errorf("read %d from a connection too many", n)
+	}
+	first.Close()
+	for l.open.Load() != 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A peer that does not read must not hold more than its share of memory: the connection is ended.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	c, _, ev := pair(t)
 	block := make([]byte, 64<<10)
 	for i := 0; c.Send(block, nil); i++ {
 		if i > 1000 {
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -59,6 +59,7 @@
 	addr  netip.AddrPort
 	mode  tinbeam.Mode
 	since time.Duration
+	back  *agent.Timer // when it is in service again, as it said
 	lines []*line
 }
 
@@ -248,6 +249,19 @@
 		}
 	}
 	// "disconnected" and "cancel-graceful": it is back with all it had.
+	f.core.Stop(gw.back)
+	if rd, _ := m.Get("RD"); whole && mode == tinbeam.Ready && rd != "" {
+		if s, err := strconv.Atoi(rd); err == nil && s > 0 { // it is in service only after this delay
+			mode = tinbeam.Gone
+			gw.back = f.core.After(time.Duration(min(s, 3600))*time.Second, func() {
+				gw.mode, gw.since = tinbeam.Ready, f.core.Now()
+				f.list(gw)
+				for _, l := range gw.lines {
+					f.arm(l)
+				}
+			})
+		}
+	}
 	if whole {
 		gw.mode = mode
 		f.list(gw)
--- a/internal/mgcp/message.go
+++ b/internal/mgcp/message.go
@@ -99,7 +99,7 @@
 		}
 		m.Code, m.Comment = code, strings.Join(f[2:], " ")
 	} else {
-		if len(f) < 5 || len(f[0]) != 4 || !strings.EqualFold(f[3], "MGCP") || !strings.HasPrefix(f[4], "1.") {
+		if len(f) < 5 || !isVerb(f[0]) || !strings.EqualFold(f[3], "MGCP") || !strings.HasPrefix(f[4], "1.") {
 			return nil, ErrMalform
 		}
 		m.Verb, m.Endpoint = strings.ToUpper(f[0]), f[2]
@@ -120,6 +120,16 @@
 	return m, nil
 }
 
+// isVerb tells whether a word can be a verb: four letters or digits.
+func isVerb(s string) bool {
+	for _, c := range []byte(s) {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9') {
+			return false
+		}
+	}
+	return len(s) == 4
+}
+
 // Append writes the message behind dst.
 func (m *Message) Append(dst []byte) []byte {
 	if m.Verb != "" {
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -20,6 +20,7 @@
 // Figures of the connections to far ends.
 const (
 	linksWanted  = 2 // kept ready to each far end: one that breaks leaves the other to go on with
+	linksMost    = 4 // the state of a group comes on so many
 	redialPause  = 200 * time.Millisecond
 	sweepEvery   = 250 * time.Millisecond
 	testAfter    = 2 * time.Second // a far end with work of ours that says nothing for so long is tested
@@ -149,7 +150,7 @@
 	}
 	// A process that started anew has lost what it had; what was set up since is its own.
 	x.cut(x.since)
-	x.dial()
+	x.dial(linksWanted)
 }
 
 func (x *far) sorted() []*agent.Attempt {
@@ -210,7 +211,7 @@
 		f.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
 	})
 	x.redialAt = 0
-	x.dial()
+	x.dial(linksWanted)
 }
 
 // best is the connection with the fewest set-ups and calls on it.
@@ -283,7 +284,7 @@
 func (x *far) check() bool {
 	c := x.best()
 	if c == nil {
-		x.dial()
+		x.dial(linksWanted)
 		return false
 	}
 	uid := fmt.Sprintf("%016x", rand.Uint64())
@@ -291,10 +292,10 @@
 	return c.link.Send((&farend.Line{Kind: farend.Check, UID: uid}).Append(nil), nil)
 }
 
-// dial opens a connection where one is wanted. It runs beside the loop and posts what became of it.
-func (x *far) dial() {
+// dial opens a connection where there are fewer than most. It runs beside the loop and posts what became of it.
+func (x *far) dial(most int) {
 	f := x.fars
-	if x.dialing || len(x.conns) >= linksWanted || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
+	if x.dialing || len(x.conns) >= most || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
 		return
 	}
 	x.dialing = true
@@ -359,7 +360,7 @@
 		core.Stop(a.Leg.(*leg).expire)
 		c.launch(a)
 	}
-	x.dial()
+	x.dial(linksWanted)
 }
 
 // Data reads lines.
@@ -408,7 +409,7 @@
 			core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
 		}
 	}
-	x.dial()
+	x.dial(linksWanted)
 }
 
 // heard takes one line.
@@ -460,7 +461,7 @@
 // sweep looks after what only time changes: connections to open, and far ends that have fallen silent.
 func (x *far) sweep() {
 	core := x.fars.core
-	x.dial()
+	x.dial(linksWanted)
 	for uid, at := range x.checks {
 		if core.Now()-at > silentAfter {
 			delete(x.checks, uid)
@@ -472,12 +473,31 @@
 	}
 	switch {
 	case quiet > silentAfter:
-		// A machine that vanished or is cut off says nothing, and its connections stay open.
+		// A machine that vanished or is cut off says nothing, its connections stay open, and no new one came up.
 		x.fars.log.Warn("far end is silent", zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)))
 		core.M.SilentLinks.Inc()
 		x.cut(core.Now())
 		x.hangUp()
 	case quiet > testAfter && !x.testing:
-		x.testing = x.check()
+		x.testing = true
+		x.check()
+		x.knock()
 	}
 }
+
+// knock opens one more connection to a far end that says nothing. Guards the calls that stand at one that merely hangs:
+// its machine still takes connections, while to one that vanished or is cut off none ever comes up.
+func (x *far) knock() {
+	if len(x.conns) >= linksMost {
+		for _, c := range x.conns {
+			open := slices.ContainsFunc(x.sorted(), func(a *agent.Attempt) bool {
+				return a.Leg.(*leg).conn == c && !a.Standing()
+			})
+			if !open { // nothing is given up with it
+				c.link.Close()
+				break
+			}
+		}
+	}
+	x.dial(linksMost)
+}
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -90,3 +90,20 @@
 		}
 	}
 }
+
+// The example in deploy does what its text says.
+func TestExample(t *testing.T) {
+	m := metrics.New()
+	p, err := Load(Options{Path: "../../deploy/plugin/refuse-redials.wasm", Budget: lateClockOK},
+		func() time.Duration { return 0 }, m, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Refuse(&agent.Call{Opts: 8}) || !p.Refuse(&agent.Call{Opts: 2 | 16}) || m.PluginFailures.Value() != 0 {
+		t.Error("it refuses redials and nothing else")
+	}
+	p.Event("answered", call72) // which it does not export
+	if n := m.PluginCalls.Value(); n != 2 {
+		t.Errorf("%d calls", n)
+	}
+}
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -87,7 +87,8 @@
 	}
 	for _, line := range lines[1:] {
 		if line != "" && (line[0] == ' ' || line[0] == '\t') && len(m.Headers) > 0 {
-			m.Headers[len(m.Headers)-1].Value += " " + strings.TrimSpace(line)
+			last := &m.Headers[len(m.Headers)-1]
+			last.Value = strings.TrimSpace(last.Value + " " + strings.TrimSpace(line))
 			continue
 		}
 		name, value, ok := strings.Cut(line, ":")
