Take the state of a group from one connection to a far end, not from each

At fault: farConn.heard took usage from any connection. Ruled out: time-outs (under 2%), late reports in flight (the next true one follows within 0.8 ms). Test: play state_on_each, which fails without the fix.

--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -31,6 +31,7 @@
 //	@ route PREFIX PLACE        numbers of gateways' callers
 //	@ start                     the program
 //	@ NAME ->                   NAME (a caller where it is none of the above) sends the text
+//	@ NAME =>                   the same on all its connections
 //	@ NAME <-                   NAME receives just the text next; {x} takes or repeats a value, {?} takes any
 //	@ NAME again                the last datagram that NAME received comes once more
 //	@ NAME close                its connections end
@@ -426,6 +427,14 @@
 		c := x.conns[0]
 		p.mu.Unlock()
 		c.Write(b)
+	case "=>":
+		p.wait(what, func() bool { return len(x.conns) > 1 })
+		p.mu.Lock()
+		conns := append([]net.Conn(nil), x.conns...)
+		p.mu.Unlock()
+		for _, c := range conns {
+			c.Write([]byte(p.fill(x.text(text))))
+		}
 	case "<-":
 		x.expect(what, x.text(text))
 	case "again":
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -58,9 +58,10 @@
 
 // farConn is one connection; its methods Data and Closed run outside the loop and only post.
 type farConn struct {
-	far  *far
-	link *link.Conn
-	open int
+	far   *far
+	link  *link.Conn
+	open  int
+	state []float32 // the last of the group that came here
 }
 
 // leg is what this front keeps of an attempt.
@@ -236,6 +237,9 @@
 	}
 	l.conn = c
 	c.open++
+	if e := c.far.fars.log.Check(zap.DebugLevel, "set-up"); e != nil {
+		e.Write(zap.String("far", c.far.addr), zap.String("uid", k.ID), zap.Float64("width", k.Width))
+	}
 	c.link.Send(m.Append(nil), &l.ticket) // if it is refused, the connection's end is told and ends the attempt
 }
 
@@ -396,7 +400,11 @@
 	}
 	x.redialAt = 0
 	core.M.LinksLost.Inc()
+	first := x.conns[0] == c
 	x.conns = slices.DeleteFunc(x.conns, func(o *farConn) bool { return o == c })
+	if first && len(x.conns) > 0 && x.conns[0].state != nil {
+		core.Report(x.id, x.conns[0].state) // from now on the states are taken from there
+	}
 	for _, a := range x.sorted() {
 		l := a.Leg.(*leg)
 		if l.conn != c || a.Standing() {
@@ -418,6 +426,9 @@
 	core := x.fars.core
 	x.heard, x.testing = core.Now(), false
 	a := x.attempts[m.UID]
+	if e := x.fars.log.Check(zap.DebugLevel, m.Kind); e != nil {
+		e.Write(zap.String("far", x.addr), zap.String("uid", m.UID), zap.Int("cause", m.Cause), zap.Any("meta", m.Meta))
+	}
 	switch m.Kind {
 	case farend.Staging, farend.Stopped:
 	case farend.Running:
@@ -437,8 +448,10 @@
 		x.forget(a)
 		core.Ended(a, m.Ending(a.Standing()), m.Note(), m.Report(core.Set.ReportFields), m.Cause)
 	case farend.Usage:
-		if r := m.Report(core.Set.ReportFields); r != nil {
-			core.Report(x.id, r)
+		// Guards against a state told twice: it comes on every connection, and the copy that comes second is older than
+		// the set-ups that the first one let go. Taken as news, it lets as many go again, and they find no circuit.
+		if c.state = m.Report(core.Set.ReportFields); c.state != nil && len(x.conns) > 0 && x.conns[0] == c {
+			core.Report(x.id, c.state)
 		}
 		x.ready()
 	case farend.Checked:
