--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -42,6 +42,7 @@
 	fars     *Fars
 	id       uint32
 	addr     string
+	moved    bool // the list has just told another address
 	mode     tinbeam.Mode
 	since    time.Duration
 	conns    []*farConn
@@ -106,8 +107,8 @@
 			f.byID[e.Switch] = x
 		}
 		if x.addr != e.Addr {
-			x.addr = e.Addr // its connections lead to the old address: calls set up there are lost with it
-			x.hangUp()
+			x.moved = x.addr != ""
+			x.addr = e.Addr
 		}
 		x.mode = e.Mode
 		if e.OnlineSince > x.since {
@@ -149,6 +150,12 @@
 		delete(x.fars.byID, x.id)
 		return
 	}
+	if x.moved {
+		// What was set up at the old address is lost with it, and the connections lead there.
+		x.moved = false
+		x.cut(x.fars.core.Now())
+		x.hangUp()
+	}
 	// A process that started anew has lost what it had; what was set up since is its own.
 	x.cut(x.since)
 	x.dial(linksWanted)
