--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,9 +7,11 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +75,17 @@
 	guard     *Timer
 }
 
+// Key is a number called as the module knows it: its hex digits, or where it is written otherwise a hash of it, so that
+// the calls to any number are one stream. 0 is no number.
+func Key(number string) uint64 {
+	if n, err := strconv.ParseUint(number, 16, 64); err == nil || number == "" {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(number))
+	return max(h.Sum64(), 1)
+}
+
 // Attempt is one set-up towards a far end.
 type Attempt struct {
 	Call   *Call
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -192,3 +192,12 @@
 		t.Errorf("order %v, want %v", got, want)
 	}
 }
+
+func TestKey(t *testing.T) {
+	if Key("") != 0 || Key("7f3a9c21e0b4d655") != 0x7f3a9c21e0b4d655 || Key("71") != 0x71 {
+		t.Error("hex digits are the number itself")
+	}
+	if a, b := Key("71#"), Key("desk.one"); a == 0 || b == 0 || a == b || a != Key("71#") {
+		t.Error("other numbers are told apart")
+	}
+}
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -411,8 +411,7 @@
 		return
 	}
 	class := f.core.Set.Classes[l.gw.Class]
-	key, _ := strconv.ParseUint(leg.digits, 16, 64)
-	k := &agent.Call{ID: fmt.Sprintf("%016x", f.rng.Uint64()), Number: leg.digits, Key: key, Class: l.gw.Class,
+	k := &agent.Call{ID: fmt.Sprintf("%016x", f.rng.Uint64()), Number: leg.digits, Key: agent.Key(leg.digits), Class: l.gw.Class,
 		Width: class.Width, Left: class.HardLimit, Dest: place, Via: -1, Caller: f, Leg: leg}
 	leg.id = k.ID
 	m := (&Message{Verb: "CRCX", Endpoint: l.name}).With("C", k.ID).With("M", "recvonly")
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -336,7 +336,7 @@
 		}
 		k.Left = time.Duration(ms * float64(time.Millisecond))
 	}
-	k.Key, _ = strconv.ParseUint(k.Number, 16, 64)
+	k.Key = agent.Key(k.Number)
 	if m.Get("P-Second-Try") == "1" {
 		k.Opts |= tinbeam.OptRedial
 	}
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -19,8 +19,9 @@
 
 // Figures of the connections to far ends.
 const (
-	linksWanted  = 2 // kept ready to each far end: one that breaks leaves the other to go on with
-	linksMost    = 4 // the state of a group comes on so many
+	linksWanted  = 2   // kept ready to each far end: one that breaks leaves the other to go on with
+	linksMost    = 4   // the state of a group comes on so many
+	farsMany     = 128 // more far ends get one connection each: the descriptors are bounded
 	redialPause  = 200 * time.Millisecond
 	sweepEvery   = 250 * time.Millisecond
 	testAfter    = 2 * time.Second // a far end with work of ours that says nothing for so long is tested
@@ -306,6 +307,9 @@
 // dial opens a connection where there are fewer than most. It runs beside the loop and posts what became of it.
 func (x *far) dial(most int) {
 	f := x.fars
+	if len(f.byID) > farsMany {
+		most = 1
+	}
 	if x.dialing || len(x.conns) >= most || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
 		return
 	}
