SIGHUP reads the configuration anew and moves to the change log it names

At fault: cmd/tinbeam/serve.go listened for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP had its default effect; and platform.Feed had no way to another address (one 'dialing' flag, whatever it dialed).

Now the file is read off the loop; what cannot be used changes nothing (one line, tinbeam_reloads_failed_total). The feed drops its link or its dial to the old address, keeps the number of the last event, and dials the new one at once. Two more holes of the same path: a whole list told twice was applied twice and undid what came behind it, and a link that broke before the loop heard of the dial was held as open for 2.5 s.

Ruled out: the module has no part in it; the crash was there with no call in the log's last second.

--- a/cmd/tinbeam/main_test.go
+++ b/cmd/tinbeam/main_test.go
@@ -2,11 +2,65 @@
 
 import (
 	"os"
+	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 )
 
+// said is what a command has printed so far.
+type said struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (s *said) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(b)
+}
+
+func (s *said) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+// Guards against a SIGHUP that ends the program: it reads the configuration anew and goes on, until SIGTERM.
+func TestSignals(t *testing.T) {
+	spare := make(chan os.Signal, 64) // a signal that comes before serve listens must not end the test
+	signal.Notify(spare, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(spare)
+	config := filepath.Join(t.TempDir(), "config.json")
+	raw, err := os.ReadFile("../../deploy/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(config, []byte(strings.Replace(string(raw), "127.0.0.1:2905", "127.0.0.1:0", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("BALANCER_LISTEN", "")
+	var out said
+	ended := make(chan error, 1)
+	go func() { ended <- run([]string{"serve", "-c", config, "-l", "error"}, &out) }()
+	reloaded := regexp.MustCompile(`(?m)^tinbeam_reloads_total [1-9]`)
+	for end := time.Now().Add(20 * time.Second); !reloaded.MatchString(out.String()); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the configuration was not read anew\n%s", out.String())
+		}
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		syscall.Kill(os.Getpid(), syscall.SIGUSR1)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestCommands(t *testing.T) {
 	config := "../../deploy/config.json"
 	broken := filepath.Join(t.TempDir(), "broken.json")
--- a/cmd/tinbeam/serve.go
+++ b/cmd/tinbeam/serve.go
@@ -77,8 +77,10 @@
 	return nil
 }
 
-// serve runs the agent. The counters are printed on SIGUSR1 and at the end.
+// serve runs the agent. The counters are printed on SIGUSR1 and at the end; SIGHUP reads the configuration anew.
 func serve(o options, out io.Writer) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	cfg, op, err := load(o)
 	if err != nil {
 		return err
@@ -94,13 +96,14 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				a.M.Print(out)
-			} else {
+			case syscall.SIGHUP:
+				a.Reload(func() (*config.Config, error) { return config.Load(o.config) })
+			default:
 				log.Info("ending", zap.String("signal", s.String()))
 				a.Term()
 			}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	loop   *agent.Loop
 	core   *agent.Core
 	log    *zap.Logger
+	cfg    *config.Config
+	feed   *platform.Feed // set on the loop
 	ln     *link.Listener
 	udp    *mgcp.Socket
 	remote *metrics.Remote
@@ -41,7 +44,7 @@
 
 // New opens the sockets and sets all up; nothing is handled before Run.
 func New(cfg *config.Config, op *config.Operator, log *zap.Logger) (*App, error) {
-	a := &App{M: metrics.New(), loop: agent.NewLoop(agent.SystemClock()), log: log, remote: op.Remote}
+	a := &App{M: metrics.New(), loop: agent.NewLoop(agent.SystemClock()), log: log, cfg: cfg, remote: op.Remote}
 	a.ctx, a.end = context.WithCancel(context.Background())
 	var hook agent.Hook
 	if op.Plugin != nil {
@@ -92,7 +95,7 @@
 		}
 	}
 	fars := platform.NewFars(a.core, a.log, cfg.ConnectTimeout, ready)
-	platform.NewFeed(a.core, fars, a.log, cfg.Changelog, cfg.Seq, cfg.Known)
+	a.feed = platform.NewFeed(a.core, fars, a.log, cfg.Changelog, cfg.Seq, cfg.Known)
 	if a.udp != nil {
 		front := mgcp.New(a.core, a.log, op.MGCP, cfg.Seed, a.udp.Send)
 		go a.udp.Serve(a.loop, a.M, front.Datagram)
@@ -141,6 +144,26 @@
 	pushes.Wait()
 }
 
+// Reload reads the configuration anew and follows the change log that it names. It reads on the caller's goroutine,
+// beside the loop. Calls, far ends and the number of the last event held stay as they are; a file that cannot be used
+// changes nothing. What else the file holds is for the next start.
+func (a *App) Reload(read func() (*config.Config, error)) {
+	c, err := read()
+	if err != nil {
+		a.M.ReloadsFailed.Inc()
+		a.log.Error("reload failed, all stays as it was", zap.Error(err))
+		return
+	}
+	a.M.Reloads.Inc()
+	a.log.Info("configuration read anew", zap.String("changelog", c.Changelog))
+	old := a.cfg
+	if c.Listen != old.Listen || c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets ||
+		!reflect.DeepEqual(c.Settings, old.Settings) {
+		a.log.Warn("the address, the limits and the settings hold until the next start")
+	}
+	a.loop.Post(func() { a.feed.Move(c.Changelog) })
+}
+
 // Term ends the agent in order: it goes on taking what comes for as long as something may come, answers all that it
 // took, and ends.
 func (a *App) Term() {
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -20,6 +21,24 @@
 	"tinbeam/internal/config"
 )
 
+// says has the messages that most exchanges begin and end with, ID standing for the call; '->' or '<-' tells which way
+// they go.
+var says = map[string]string{
+	"tests":  "->OPTIONS sip:ping@net SIP/2.0\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 OPTIONS\nContent-Length: 0\n",
+	"passed": "<-SIP/2.0 200 OK\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 OPTIONS\nContent-Length: 0\n",
+	"offers": "->INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\n" +
+		"P-Kind: check\nP-Time-Left: 15000\nP-Path: dest:1;width:1;via:-1\nContent-Length: *\n\nv=0 offer",
+	"gets": `<-{"kind":"launch","uid":"ID","meta":{"class":"check","key":"7f3a9c21e0b4d655","left":"{?}"},` +
+		`"body":"v=0 offer\r\n"}`,
+	"runs":   `->{"kind":"running","uid":"ID","meta":{},"body":"v=0 answer\r\n"}`,
+	"stands": "<-SIP/2.0 200 OK\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 12\n\nv=0 answer",
+	"ends":   `->{"kind":"stop","uid":"ID","meta":{},"reason":16}`,
+	"over": "<-BYE sip:peer@net SIP/2.0\nVia: SIP/2.0/TCP {?};branch={?}\nMax-Forwards: 70\nCall-ID: ID\nCSeq: 1 BYE\n" +
+		"Reason: Q.850;cause=16\nContent-Length: 0\n",
+	"refused": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\n" +
+		"Content-Length: 0\n",
+}
+
 // patience only ends a test that hangs; nothing is judged by how long it took.
 const patience = 20 * time.Second
 
@@ -33,12 +52,15 @@
 //	@ NAME ->                   NAME (a caller where it is none of the above) sends the text
 //	@ NAME =>                   the same on all its connections
 //	@ NAME <-                   NAME receives just the text next; {x} takes or repeats a value, {?} takes any
+//	@ NAME SAYS ID              one of the messages of says, for the call
 //	@ NAME again                the last datagram that NAME received comes once more
 //	@ NAME close                its connections end
 //	@ NAME shut                 and no new ones are taken
 //	@ list NAME STATE ...       the change log tells of a far end: 0 ready, 1 draining, 2 gone
 //	@ resumed N                 the program opens the change log anew and names N as the last event that it has
 //	@ skip                      the change log's next event is lost
+//	@ repeat                    its last event comes once more
+//	@ reload                    the program is told of a new change log; @ reload bad: of a file that cannot be read
 //	@ setting KEY VALUE         a setting that is not as in settings.json
 //	@ count COUNTER N           the counter comes to N
 //	@ term                      the program is told to end; @ ended waits for it
@@ -66,6 +88,8 @@
 	parts    map[string]*part
 	vars     map[string]string
 	app      *App
+	cfg      *config.Config
+	event    []byte // the change log's last
 	log      *part
 	seq      uint64
 	known    []any
@@ -356,6 +380,16 @@
 	case "setting":
 		p.set = append(p.set, [2]string{words[1], words[2]})
 		return
+	case "reload":
+		cfg, err := *p.cfg, error(nil)
+		if len(words) > 1 {
+			err = errors.New("cannot be read")
+		} else {
+			p.log = p.listen(fmt.Sprint("log", p.seq), part{})
+			cfg.Changelog = p.log.ln.Addr().String()
+		}
+		p.app.Reload(func() (*config.Config, error) { return &cfg, err })
+		return
 	case "skip":
 		p.seq++
 		return
@@ -390,11 +424,11 @@
 		b = binary.BigEndian.AppendUint16(append(b, addr.IP.To4()...), uint16(addr.Port))
 		b = binary.BigEndian.AppendUint16(append(b, byte(atoi(p, words[2])), 0, 0), uint16(x.place))
 		b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, 1000), started)
-		p.wait("the change log's reader", func() bool { return len(p.log.conns) > 0 })
-		p.mu.Lock()
-		c := p.log.conns[len(p.log.conns)-1] // an older one may be closed already
-		p.mu.Unlock()
-		c.Write(b)
+		p.event = b
+		p.tell()
+		return
+	case "repeat":
+		p.tell()
 		return
 	case "count":
 		p.count(words[1], atoi(p, words[2]))
@@ -411,6 +445,10 @@
 		return
 	}
 	x := p.party(words[0])
+	if m, ok := says[words[1]]; ok {
+		text = strings.Split(strings.NewReplacer("Call-ID: ID", "Call-ID: "+words[2], `"ID"`, `"`+words[2]+`"`).Replace(m[2:]), "\n")
+		words = []string{words[0], m[:2], words[2]}
+	}
 	switch words[1] {
 	case "close":
 		x.close(false)
@@ -450,6 +488,16 @@
 	}
 }
 
+// tell writes the change log's last event.
+func (p *player) tell() {
+	p.Helper()
+	p.wait("the change log's reader", func() bool { return len(p.log.conns) > 0 })
+	p.mu.Lock()
+	c := p.log.conns[len(p.log.conns)-1] // an older one may be closed already
+	p.mu.Unlock()
+	c.Write(p.event)
+}
+
 func (x *part) expect(what, text string) {
 	x.p.Helper()
 	tail := ""
@@ -556,6 +604,7 @@
 			p.Fatal(err)
 		}
 	}
+	p.cfg = cfg
 	if p.app, err = New(cfg, op, zap.NewNop()); err != nil {
 		p.Fatal(err)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,7 @@
 	Probes, Reports                                         *Counter
 	LinksUp, LinksLost, DialsFailed, SilentLinks            *Counter
 	ListEvents, ListGaps, ListReconnects                    *Counter
+	Reloads, ReloadsFailed                                  *Counter
 	Malformed, Stray, Repeated                              *Counter
 	Violations, Panics, LateAnswers                         *Counter
 	PluginCalls, PluginRefusals, PluginFailures             *Counter
@@ -81,6 +82,8 @@
 	add(&s.ListEvents, "list_events_total", "events of the change log applied")
 	add(&s.ListGaps, "list_gaps_total", "events of the change log that were missed or came twice")
 	add(&s.ListReconnects, "list_reconnects_total", "connections opened to the change log")
+	add(&s.Reloads, "reloads_total", "times the configuration was read anew")
+	add(&s.ReloadsFailed, "reloads_failed_total", "times the configuration read anew could not be used")
 	add(&s.Malformed, "malformed_total", "messages that could not be read")
 	add(&s.Stray, "stray_total", "messages about calls or transactions that are not known")
 	add(&s.Repeated, "repeated_total", "messages that came again and were not acted on twice")
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	feedSilent  = 2500 * time.Millisecond // an empty frame comes each second
+	feedSilent  = 2300 * time.Millisecond // an empty frame comes each second
 	feedTimeout = time.Second
 	feedPause   = 200 * time.Millisecond
 )
@@ -25,13 +25,14 @@
 	addr    string
 	seq     uint64
 	conn    *feedConn
-	dialing bool
+	dialing *feedConn // the dial that is under way; what an earlier one brings is not wanted any more
 	heard   time.Duration
 }
 
 type feedConn struct {
 	feed *Feed
 	link *link.Conn
+	over bool
 }
 
 // NewFeed applies the events of the start and follows the change log from there; no address: it rests.
@@ -65,27 +66,54 @@
 	f.fars.Listed(e.Seq, kind, e.Entries)
 }
 
+// Move follows the change log at another address from now on. The numbers continue there. The old one tells nothing
+// further, so neither a link nor a dial to it is waited for.
+func (f *Feed) Move(addr string) {
+	if addr == f.addr {
+		return
+	}
+	f.addr, f.dialing = addr, nil
+	if c := f.conn; c != nil {
+		f.conn = nil
+		c.link.Close()
+	}
+	f.dial()
+}
+
 func (f *Feed) dial() {
-	if f.addr == "" || f.conn != nil || f.dialing {
+	if f.addr == "" || f.conn != nil || f.dialing != nil {
 		return
 	}
-	f.dialing = true
 	c := &feedConn{feed: f}
+	f.dialing = c
+	addr := f.addr
 	go func() {
-		l, err := link.Dial(f.addr, feedTimeout, c)
-		f.core.Post(func() {
-			f.dialing = false
-			if err != nil {
-				f.core.M.DialsFailed.Inc()
-				return
-			}
-			c.link, f.conn, f.heard = l, c, f.core.Now()
-			f.core.M.ListReconnects.Inc()
-			l.Send(changelog.Resume(f.seq), nil)
-		})
+		l, err := link.Dial(addr, feedTimeout, c)
+		f.core.Post(func() { f.dialed(c, l, err) })
 	}()
 }
 
+// dialed takes what became of a dial.
+func (f *Feed) dialed(c *feedConn, l *link.Conn, err error) {
+	wanted := f.dialing == c
+	if wanted {
+		f.dialing = nil
+	}
+	switch {
+	case err != nil:
+		f.core.M.DialsFailed.Inc()
+	case !wanted:
+		l.Close() // it leads to where the change log was before
+	case c.over:
+		// Guards against a link that broke before this was told of it: it would be waited on as if it were open.
+		f.core.M.DialsFailed.Inc()
+	default:
+		c.link, f.conn, f.heard = l, c, f.core.Now()
+		f.core.M.ListReconnects.Inc()
+		l.Send(changelog.Resume(f.seq), nil)
+	}
+}
+
 // Data reads frames.
 func (c *feedConn) Data(_ *link.Conn, b []byte) (int, error) {
 	used := 0
@@ -111,8 +139,9 @@
 	f.heard = f.core.Now()
 	switch {
 	case e.Kind == changelog.Nothing:
-	case e.Seq <= f.seq && e.Kind == changelog.Changes:
-		f.core.M.ListGaps.Inc() // told again
+	case e.Seq <= f.seq:
+		// Guards against an event told twice, a whole list too: what came behind it would be undone.
+		f.core.M.ListGaps.Inc()
 	case e.Kind == changelog.Whole:
 		f.apply(*e, tinbeam.ListFull)
 	case e.Seq > f.seq+1:
@@ -127,6 +156,7 @@
 // Closed tells that the connection has ended.
 func (c *feedConn) Closed(*link.Conn) {
 	c.feed.core.Post(func() {
+		c.over = true
 		if c.feed.conn == c {
 			c.feed.conn = nil
 			c.feed.dial()
