Module: figures of time follow the settings, and an error is an answer, not silence

The log has 'suspected, does not answer' within a millisecond of answers with cause 47: calls of bad clients that far ends turn down (set-ups with stop47 in the debug log, each at 2.6, 7.6, 7.9 s), and after each the exchange came back with T 0.5 s. At fault: controller.go, the case 'Failed, TimedOut, Reset ...' of outcome (an error counted as bad and hushed the exchange); the constants defaultGap, memory and the literal seconds in ownPart, flowing, sense, send and outcome. Ruled out: memory (20 MB of 64), processor time (0.1 s a second), set-ups lost on connections (all sent were answered, or timed out behind the own processor's queue). Now an error is heard as an answer. T's default and pace are 5/12 of the tightest aim, 0.5 s at most; rates run over the longest mean holding time, 10 s at most; both are the old figures where the settings are the old ones.

--- a/controller.go
+++ b/controller.go
@@ -19,11 +19,11 @@
 	gain       = 1                      // m: what a counter gains each interval
 	bankMost   = 40                     // N: what it may bank
 	localMost  = 4                      // set-ups granted in one interval at most (the paper's local counter)
-	defaultGap = 500 * time.Millisecond // T where no rate has been seen yet, and the pace of its changes
+	defaultGap = 500 * time.Millisecond // T where no rate has been seen, and the pace of its changes: see beat
 	grow       = 1.12                   // T's growth each pace of pressure; a fifth fewer set-ups
 	shrink     = 0.75                   // T's shrinking each pace without
 	look       = 20 * time.Millisecond  // how often held calls and waits are looked at
-	memory     = 10 * time.Second       // time constant of observed rates: a call's length, about
+	memory     = 10 * time.Second       // time constant of observed rates: a call's length, see span
 )
 
 // gap is the banked counter of one stream. A closed gap grants everything.
@@ -78,30 +78,30 @@
 }
 
 // pace is how often T may change: a thin stream gives no news in less than its own interval.
-func (g *gap) pace() time.Duration {
+func (g *gap) pace(beat time.Duration) time.Duration {
 	if !g.open {
-		return defaultGap
+		return beat
 	}
-	return max(defaultGap, g.every)
+	return max(beat, g.every)
 }
 
-// rate observes how often something happens.
+// rate observes how often something happens, over about a span.
 type rate struct {
 	sum     float64
 	at, was time.Duration // last update, first observation; 0: none
 }
 
-func (r *rate) add(now time.Duration, x float64) {
+func (r *rate) add(now, span time.Duration, x float64) {
 	if r.was == 0 {
 		r.was = now
 	}
-	r.sum, r.at = r.sum*math.Exp(-float64(now-r.at)/float64(memory))+x, now
+	r.sum, r.at = r.sum*math.Exp(-float64(now-r.at)/float64(span))+x, now
 }
 
 // perS is the rate, corrected for a short history.
-func (r *rate) perS(now time.Duration) float64 {
-	span := memory.Seconds() * (1 - math.Exp(-float64(now-r.was+time.Second)/float64(memory)))
-	return r.sum * math.Exp(-float64(now-r.at)/float64(memory)) / span
+func (r *rate) perS(now, span time.Duration) float64 {
+	seen := span.Seconds() * (1 - math.Exp(-float64(now-r.was+span/10)/float64(span)))
+	return r.sum * math.Exp(-float64(now-r.at)/float64(span)) / seen
 }
 
 // exchange is what is known of one far exchange, or pool; also of the own one.
@@ -177,11 +177,12 @@
 	best            float64   // the most direct calls a second that have stood
 	offered, served []float64 // first tries by class
 	ticking         bool
-	pass            int        // through the held calls
-	ended           []sample   // the last set-ups that ended, whichever way they went
-	ownWait         float64    // what of the time to an answer is wait at the own processor, seconds
-	round           [3]float64 // the share of set-ups over tandems that stood lately, by kind: see wayTo
-	target          float64    // the wait that is pressure, seconds
+	pass            int           // through the held calls
+	ended           []sample      // the last set-ups that ended, whichever way they went
+	ownWait         float64       // what of the time to an answer is wait at the own processor, seconds
+	round           [3]float64    // the share of set-ups over tandems that stood lately, by kind: see wayTo
+	target          float64       // the wait that is pressure, seconds
+	beat, span      time.Duration // T and the time constant of rates, as fast as the calls here are: see New
 	acts            []Action
 }
 
@@ -223,6 +224,13 @@
 		c.target = min(c.target, s.Resend.Seconds()/2)
 	}
 	c.own.least = c.target
+	// Danger: where aims are a fraction of a second and calls last about one, a T that changes each half
+	// second opens when the jam has passed and lifts long after it. T follows the aim and the rates the
+	// calls' length, up to the figures above.
+	c.beat, c.span = min(defaultGap, time.Duration(aim*float64(time.Second)/2.4)), 0
+	for _, k := range s.Classes {
+		c.span = max(c.span, min(k.MeanHold, memory))
+	}
 	return c
 }
 
@@ -373,7 +381,7 @@
 	}
 	began := x.gap.floor == 0
 	x.gap.floor = time.Duration(float64(time.Second) / (share * part))
-	if began || x.gap.every < x.gap.floor || c.now-x.gap.pressed >= defaultGap && !x.silent {
+	if began || x.gap.every < x.gap.floor || c.now-x.gap.pressed >= c.beat && !x.silent {
 		x.gap.set(c.now, x.gap.floor, c.rng)
 	}
 	if began {
@@ -485,7 +493,7 @@
 		if k.Class == worst {
 			worth += wc * all / c.offered[worst]
 		}
-		k.rank = worth / memory.Seconds()
+		k.rank = worth / c.span.Seconds()
 		if d := c.at(k.Dest); d.free < c.reserve(d)+k.Width {
 			k.rank = worth / (k.Width * cl.MeanHold.Seconds())
 		}
@@ -604,17 +612,17 @@
 	k.tries++
 	t.out = append(t.out, k)
 	t.free -= k.Width
-	t.sent.add(c.now, 1)
+	t.sent.add(c.now, c.span, 1)
 	t.gap.spend()
 	t.zone.gap.spend()
 	t.used, d.used = true, true
-	c.own.sent.add(c.now, 1)
+	c.own.sent.add(c.now, c.span, 1)
 	c.own.gap.spend()
 	c.numberOf(k.Number).gap.spend()
 	if t != d {
 		d.gap.spend()
-		d.sent.add(c.now, 1)
-		d.via, d.viaUntil = t.place, c.now+2*time.Second
+		d.sent.add(c.now, c.span, 1)
+		d.via, d.viaUntil = t.place, c.now+4*c.beat
 		k.tried[t.place] = true
 	}
 	// Danger: a jammed processor works through set-ups whose time has passed; one given up in time leaves its
@@ -638,13 +646,13 @@
 	c.passed(k.to, e.Took)
 	if k.direct {
 		x, took := k.to, e.Took.Seconds()
-		if c.now-x.answered > time.Second {
+		if c.now-x.answered > 2*c.beat {
 			x.wait = took
 		}
 		x.wait += (took - x.wait) / 4
 		x.answered, x.least = c.now, min(x.least, x.wait)
-		c.stood.add(c.now, 1)
-		c.best = max(c.best, c.stood.perS(c.now))
+		c.stood.add(c.now, c.span, 1)
+		c.best = max(c.best, c.stood.perS(c.now, c.span))
 	} else {
 		d := c.at(k.Dest)
 		i := wayTo(k, d, k.to.place)
@@ -656,7 +664,7 @@
 	}
 	c.returned(k)
 	n := c.numberOf(k.Number)
-	n.gap.every, n.busy = max(time.Duration(float64(n.gap.every)*shrink), defaultGap), 0
+	n.gap.every, n.busy = max(time.Duration(float64(n.gap.every)*shrink), c.beat), 0
 }
 
 // passed notes a set-up that ended. All pass the own processor, so its part is at most the shortest of the
@@ -669,7 +677,7 @@
 }
 
 func (c *Controller) ownPart() {
-	fresh := max(time.Second, localMost*c.spacing(c.own))
+	fresh := max(2*c.beat, localMost*c.spacing(c.own))
 	c.ended = slices.DeleteFunc(c.ended, func(s sample) bool { return c.now-s.at >= fresh })
 	part, two := math.Inf(1), false
 	for _, s := range c.ended {
@@ -699,7 +707,7 @@
 		x.silent = false
 		c.note("%s: recovered, answers again", x.name)
 		x.gap.bank = gain
-		x.gap.set(c.now, max(x.gap.base, defaultGap), c.rng)
+		x.gap.set(c.now, max(x.gap.base, c.beat), c.rng)
 	}
 	if z := x.zone; z != nil {
 		was := z.silent
@@ -739,7 +747,7 @@
 				c.press(x, true)
 				c.failed()
 			} else if d := c.at(k.Dest); note == NoteTurnedBack && d != nil && d != c.own {
-				d.blocked[x.place] = c.now + 4*time.Second
+				d.blocked[x.place] = c.now + 8*c.beat
 				c.round[wayTo(k, d, x.place)] *= 15. / 16
 				if d.via == x.place {
 					d.via = -1
@@ -763,6 +771,12 @@
 				c.busy(k.Number)
 			}
 			k.until = c.now // the lines stay taken: no other route helps
+		case e.Code == Failed:
+			// Danger: an error is an answer, and some calls get nothing else wherever they go. Taken for
+			// silence, a few of them shut a sound exchange out, and it comes back gapped.
+			if x != nil {
+				c.hear(x)
+			}
 		case x != nil && e.Code != Cancelled && !k.stands && x.heard < sentAt:
 			// Danger: a crashed processor resets every set-up at once, and a call sent again and again
 			// burns its tries there. One may be chance, or a lost answer, which must not shut the stream; the
@@ -821,9 +835,9 @@
 	if n.busy++; n.busy < 2 {
 		return
 	}
-	every := 2 * defaultGap
+	every := 2 * c.beat
 	if n.gap.open {
-		every = min(time.Duration(float64(n.gap.every)*1.5), memory)
+		every = min(time.Duration(float64(n.gap.every)*1.5), c.span)
 	} else {
 		c.note("gap opened on a number found busy")
 	}
@@ -859,10 +873,10 @@
 
 // spacing is the present interval between set-ups towards an exchange.
 func (c *Controller) spacing(x *exchange) time.Duration {
-	if r := x.sent.perS(c.now); r > 0 {
-		return min(max(time.Duration(float64(time.Second)/r), 10*time.Millisecond), memory)
+	if r := x.sent.perS(c.now, c.span); r > 0 {
+		return min(max(time.Duration(float64(time.Second)/r), c.beat/50), c.span)
 	}
-	return defaultGap
+	return c.beat
 }
 
 // press: a sign of pressure at a processor opens its gap, and stretches it while it lasts.
@@ -870,7 +884,7 @@
 	if x.silent {
 		return
 	}
-	most := max(2*x.gap.base, defaultGap)
+	most := max(2*x.gap.base, c.beat)
 	if full {
 		// It has jammed: the wait is far past any aim, and what it turns away costs it work too.
 		most, x.gap.bank = 4*most, 0
@@ -890,7 +904,7 @@
 	if !g.open {
 		g.base = c.spacing(x)
 	}
-	if !g.open || c.now-g.judged >= g.pace() {
+	if !g.open || c.now-g.judged >= g.pace(c.beat) {
 		g.set(c.now, every, c.rng)
 	}
 }
@@ -899,12 +913,12 @@
 // granting. Down to single trial calls with an empty bank, until something is answered.
 func (c *Controller) hush(x *exchange) {
 	if !x.silent {
-		x.silent, x.gap.judged = true, c.now-x.gap.pace() // at once
+		x.silent, x.gap.judged = true, c.now-x.gap.pace(c.beat) // at once
 		c.note("%s: suspected, does not answer", x.name)
 	}
-	every := min(max(2*x.gap.every, 2*defaultGap), 4*defaultGap)
+	every := min(max(2*x.gap.every, 2*c.beat), 4*c.beat)
 	if x != c.own && x.zone == nil {
-		every = defaultGap // a district: its trials are few among its exchanges
+		every = c.beat // a district: its trials are few among its exchanges
 	}
 	c.stretch(x, every)
 	x.gap.bank = 0
@@ -920,14 +934,14 @@
 		g.bank = min(g.bank, gain) // nor does it bank while others hold its trial calls back
 		return
 	}
-	fresh := max(time.Second, 2*g.pace())
+	fresh := 2 * g.pace(c.beat)
 	slow := x == c.own && c.ownWait > c.most(x.least) || c.now-x.answered < fresh && c.slow(x, x.wait) ||
 		len(x.out) > 0 && x.out[0].direct && c.slow(x, (c.now-x.out[0].sentAt).Seconds())
 	if slow || c.now-x.told < 2*fresh && (x.reduce > 0.3 || x.lag > c.target) {
 		c.press(x, false)
 		return
 	}
-	if g.open && c.now-g.pressed >= g.pace() && c.now-g.judged >= g.pace() {
+	if g.open && c.now-g.pressed >= g.pace(c.beat) && c.now-g.judged >= g.pace(c.beat) {
 		g.set(c.now, time.Duration(float64(g.every)*shrink), c.rng)
 		if g.floor == 0 && g.every <= c.spacing(x)/2 {
 			g.open = false
@@ -940,7 +954,7 @@
 func (c *Controller) tick() {
 	c.ticking = false
 	for i := range c.round {
-		c.round[i] += (1 - c.round[i]) * look.Seconds() / memory.Seconds() / 8 // to be tried again some time
+		c.round[i] += (1 - c.round[i]) * look.Seconds() / c.span.Seconds() / 8 // to be tried again some time
 	}
 	c.ownPart()
 	for _, x := range c.places {
@@ -959,7 +973,7 @@
 		}
 	}
 	for num, n := range c.numbers {
-		if c.now-n.last > 3*memory && c.now >= n.redial {
+		if c.now-n.last > 3*c.span && c.now >= n.redial {
 			delete(c.numbers, num)
 		}
 	}
--- a/controller_test.go
+++ b/controller_test.go
@@ -1209,3 +1209,50 @@
 		t.Error("a circuit may come free: should be held")
 	}
 }
+
+// Where aims and holding times are a fifth, a gap comes and goes in a fifth of the time.
+func TestPaceFollowsTheSettings(t *testing.T) {
+	lasts := func(f time.Duration) time.Duration {
+		s := settings()
+		for i := range s.Classes {
+			s.Classes[i].Aim /= f
+			s.Classes[i].MeanHold /= f
+		}
+		b := start(t, s)
+		x := b.c.places[1]
+		for i := 0; i < 200; i++ {
+			b.now += 100 * ms / f
+			b.offer(1, func(o *Offer) { o.TTL /= f })
+			b.standAll()
+			b.free(1, 30)
+			if i > 150 && i < 170 {
+				b.c.press(x, false)
+			}
+		}
+		if !x.gap.open {
+			t.Fatal("no gap")
+		}
+		at := b.now
+		for x.gap.open && b.now < at+time.Minute {
+			b.pass(20 * ms)
+			b.standAll()
+		}
+		return b.now - at
+	}
+	slow, fast := lasts(1), lasts(5)
+	if slow < 600*ms || fast > slow/4 {
+		t.Errorf("a gap lasts %v after its time, and %v where all is five times as fast", slow, fast)
+	}
+}
+
+// Errors are answers: calls that nobody can use must not shut a sound exchange out.
+func TestErrorsAreNotSilence(t *testing.T) {
+	b := start(t, settings())
+	for i := 0; i < 12; i++ {
+		r := b.offer(1, func(o *Offer) { o.Opts = OptRedial })
+		b.ends(r, 101, Failed, 0)
+	}
+	if x := b.c.places[1]; x.silent || x.gap.open || x.bad != 0 {
+		t.Errorf("silent %v, gap %v, bad %d after errors", x.silent, x.gap.open, x.bad)
+	}
+}
