A far end's unreadable line ends its connection, and a broken connection is no sign of load

The debug log has one unreadable line at 4.15 s and one at 6.56 s ('n\t\ufffdu...', and an answer cut in its description); nothing more came on those connections, while set-ups went on to be written to them and ran out of time, until both exchanges and the own one were 'suspected'. At fault: platform/fars.go Data passed over a malformed line and went on (farend.Parse promised that the next line could be read); fars.lost told the module Reset or ConnectFailed for each set-up of a broken connection, which controller.go outcome counts as an exchange that does not answer. Ruled out: memory, descriptors, processor time; the far ends themselves (on their other connection they answered). Now: what cannot be read closes the connection before what waits to be written, so that it never ran; set-ups end with NoteLink, which the module counts neither for nor against an exchange. A line begun and not ended within 300 ms is taken for one that never ends. JSON that is not UTF-8, has more behind it, or an answer without a description is unreadable. A connection that was reset as it came up is noticed (netpoll tells nothing of an end before its callbacks are set, and the loop may hear of the end before the dial), and the next one waits 20 ms.

Tests: malformed.txt (reset, the wait, a second launch, copies, unknown ids, a line without end), farend TestMalformed, TestErrorsAndBrokenLinksAreNotSilence.

--- a/controller.go
+++ b/controller.go
@@ -19,7 +19,7 @@
 	gain       = 1                      // m: what a counter gains each interval
 	bankMost   = 40                     // N: what it may bank
 	localMost  = 4                      // set-ups granted in one interval at most (the paper's local counter)
-	defaultGap = 500 * time.Millisecond // T where no rate has been seen, and the pace of its changes: see beat
+	defaultGap = 500 * time.Millisecond // T where no rate has been seen, and the pace of its changes: beat
 	grow       = 1.12                   // T's growth each pace of pressure; a fifth fewer set-ups
 	shrink     = 0.75                   // T's shrinking each pace without
 	look       = 20 * time.Millisecond  // how often held calls and waits are looked at
@@ -771,6 +771,7 @@
 				c.busy(k.Number)
 			}
 			k.until = c.now // the lines stay taken: no other route helps
+		case note == NoteLink: // the next set-up, on another connection, tells how the exchange is
 		case e.Code == Failed:
 			// Danger: an error is an answer, and some calls get nothing else wherever they go. Taken for
 			// silence, a few of them shut a sound exchange out, and it comes back gapped.
--- a/controller_test.go
+++ b/controller_test.go
@@ -1245,14 +1245,16 @@
 	}
 }
 
-// Errors are answers: calls that nobody can use must not shut a sound exchange out.
-func TestErrorsAreNotSilence(t *testing.T) {
+// Errors are answers, and a broken connection is no exchange down: neither may shut a sound exchange out.
+func TestErrorsAndBrokenLinksAreNotSilence(t *testing.T) {
 	b := start(t, settings())
 	for i := 0; i < 12; i++ {
 		r := b.offer(1, func(o *Offer) { o.Opts = OptRedial })
 		b.ends(r, 101, Failed, 0)
+		r = b.offer(1, func(o *Offer) { o.Opts = OptRedial })
+		b.ends(r, 101, Reset, NoteLink)
 	}
 	if x := b.c.places[1]; x.silent || x.gap.open || x.bad != 0 {
-		t.Errorf("silent %v, gap %v, bad %d after errors", x.silent, x.gap.open, x.bad)
+		t.Errorf("silent %v, gap %v, bad %d after errors and resets", x.silent, x.gap.open, x.bad)
 	}
 }
--- a/interface.go
+++ b/interface.go
@@ -110,6 +110,7 @@
 	NoteTurnedBack = 2
 	NoteProcessor  = 3
 	NoteBusy       = 4
+	NoteLink       = 5  // the connection broke under it, which tells nothing of the exchange
 	NoteBeyond     = 16 // with NoteTurnedBack: the processor beyond the tandem was full
 )
 
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -52,6 +52,7 @@
 //	@ NAME ->                   NAME (a caller where it is none of the above) sends the text
 //	@ NAME =>                   the same on all its connections
 //	@ NAME <-                   NAME receives just the text next; {x} takes or repeats a value, {?} takes any
+//	@ NAME half TEXT            NAME sends the text on all its connections, and no end of line
 //	@ NAME SAYS ID              one of the messages of says, for the call
 //	@ NAME again                the last datagram that NAME received comes once more
 //	@ NAME close                its connections end
@@ -478,6 +479,14 @@
 		}
 	case "<-":
 		x.expect(what, x.text(text))
+	case "half":
+		p.wait(what, func() bool { return len(x.conns) > 1 })
+		p.mu.Lock()
+		conns := append([]net.Conn(nil), x.conns...)
+		p.mu.Unlock()
+		for _, c := range conns {
+			c.Write([]byte(strings.Join(words[2:], " ")))
+		}
 	case "again":
 		p.wait(what, func() bool { return x.seen[x.last] > 1 })
 		p.mu.Lock()
--- a/internal/farend/farend.go
+++ b/internal/farend/farend.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"tinbeam"
 )
@@ -40,7 +41,8 @@
 	CauseNotPass = 0
 )
 
-// What a stream can hold that is no line. After ErrMalform the next line can still be read.
+// What a stream can hold that is no line. After either the stream cannot be followed further: the next line may be the
+// rest of this one.
 var (
 	ErrTooLong = errors.New("farend: line longer than 16 KiB")
 	ErrMalform = errors.New("farend: malformed line")
@@ -64,7 +66,7 @@
 }
 
 // Parse reads the first line of b and tells how many bytes it took; with none whole yet it returns nil
-// and 0. A malformed line is passed over: n covers it and err tells.
+// and 0.
 func Parse(b []byte) (line *Line, n int, err error) {
 	end := bytes.IndexByte(b, '\n')
 	if end < 0 && len(b) >= MaxLine || end >= MaxLine {
@@ -80,7 +82,9 @@
 	var w wire
 	dec := json.NewDecoder(bytes.NewReader(b[:end]))
 	dec.UseNumber()
-	if dec.Decode(&w) != nil || w.Kind == "" {
+	// Guards against what would be passed on spoilt: JSON that is not UTF-8 is mended on reading without a word, what
+	// stands behind an object is passed over, and an answer that was cut may have no description.
+	if !utf8.Valid(b[:end]) || dec.Decode(&w) != nil || w.Kind == "" || dec.More() || w.Kind == Running && w.Body == nil {
 		return nil, n, ErrMalform
 	}
 	line = &Line{Kind: w.Kind, UID: w.UID, Meta: make(map[string]string, len(w.Meta))}
--- a/internal/farend/farend_test.go
+++ b/internal/farend/farend_test.go
@@ -57,7 +57,9 @@
 func TestMalformed(t *testing.T) {
 	for text, want := range map[string]error{
 		"[]\n": ErrMalform, "{\"kind\":\"\"}\n": ErrMalform, "{\"kind\":\"stop\",\"reason\":1.5}\n": ErrMalform,
-		"{\"kind\":\"stop\",\"meta\":{\"a\":[]}}\n": ErrMalform, strings.Repeat("x", MaxLine): ErrTooLong,
+		"{\"kind\":\"running\",\"uid\":\"9b\"}\n": ErrMalform, "{\"kind\":\"stop\"}{\n": ErrMalform,
+		"{\"kind\":\"running\",\"body\":\"v\xff\"}\n": ErrMalform,
+		"{\"kind\":\"stop\",\"meta\":{\"a\":[]}}\n":   ErrMalform, strings.Repeat("x", MaxLine): ErrTooLong,
 		strings.Repeat("x", MaxLine) + "\n": ErrTooLong,
 	} {
 		if m, n, err := Parse([]byte(text)); m != nil || !errors.Is(err, want) || errors.Is(err, ErrMalform) && n != len(text) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,7 @@
 	np     netpoll.Connection
 	events Events
 	in     []byte
+	part   atomic.Int64 // since when the start of a message has waited for its rest, on the clock of clock; 0: none
 
 	mu      sync.Mutex
 	wake    sync.Cond
@@ -87,6 +89,9 @@
 		c.Close()
 		return nil, err
 	}
+	if !np.IsActive() {
+		c.Close() // netpoll tells of no end that came before its callbacks were set
+	}
 	return c, nil
 }
 
@@ -177,9 +182,28 @@
 		c.in = c.in[:0]
 		c.Finish()
 	}
+	if len(c.in) == 0 {
+		c.part.Store(0)
+	} else if used > 0 || c.part.Load() == 0 {
+		c.part.Store(int64(clock()))
+	}
 	return nil
 }
 
+// clock only ever grows, from 1.
+var clock = func() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) + 1 }
+}()
+
+// Stuck is how long the start of a message has waited for its rest; 0: there is none.
+func (c *Conn) Stuck() time.Duration {
+	if at := c.part.Load(); at != 0 {
+		return clock() - time.Duration(at)
+	}
+	return 0
+}
+
 // Send queues a message; it never blocks. It tells false where the connection is closed or its peer has not
 // read for so long that the queue is full, which ends the connection. A nil ticket cannot be withdrawn.
 func (c *Conn) Send(b []byte, t *Ticket) bool {
@@ -276,6 +300,7 @@
 }
 
 func init() {
-	// One core: one poller is enough, and a second one would only trade the core with the first.
-	_ = netpoll.Configure(netpoll.Config{PollerNum: 1})
+	// One core: one poller is enough, and a second one would only trade the core with the first. What netpoll logs of
+	// each reset and early close is counted by the owners of the connections.
+	_ = netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: io.Discard})
 }
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -23,6 +23,8 @@
 	linksMost    = 4   // the state of a group comes on so many
 	farsMany     = 128 // more far ends get one connection each: the descriptors are bounded
 	redialPause  = 200 * time.Millisecond
+	resetPause   = 20 * time.Millisecond  // after a connection that was reset as it came up
+	stuckAfter   = 300 * time.Millisecond // a line of which no more comes for so long never ends
 	sweepEvery   = 250 * time.Millisecond
 	testAfter    = 2 * time.Second // a far end with work of ours that says nothing for so long is tested
 	silentAfter  = 5 * time.Second // and given up after this: what stood there must be released within 8 s of its end
@@ -62,6 +64,8 @@
 type farConn struct {
 	far   *far
 	link  *link.Conn
+	upAt  time.Duration
+	over  bool
 	open  int
 	state []float32 // the last of the group that came here
 }
@@ -351,6 +355,16 @@
 	}
 }
 
+// pause lets a moment pass before the next connection.
+func (x *far) pause() {
+	x.redialAt = x.fars.core.Now() + resetPause
+	x.fars.core.At(x.redialAt, func() {
+		if x.fars.byID[x.id] == x {
+			x.dial(linksWanted)
+		}
+	})
+}
+
 // ready tells once that the state of the group has come, or cannot.
 func (x *far) ready() {
 	if !x.told {
@@ -361,7 +375,16 @@
 
 func (x *far) up(c *farConn, l *link.Conn) {
 	core := x.fars.core
-	c.link = l
+	if c.over {
+		// Guards against a connection that was reset before this was told of it: set-ups would be given to it for good.
+		x.unreached(false)
+		x.pause()
+		return
+	}
+	c.link, c.upAt = l, core.Now()
+	if c.state != nil && len(x.conns) == 0 {
+		core.Report(x.id, c.state) // it came ahead of this
+	}
 	x.conns = append(x.conns, c)
 	x.heard, x.testing = core.Now(), false
 	core.M.LinksUp.Inc()
@@ -378,8 +401,9 @@
 	x.dial(linksWanted)
 }
 
-// Data reads lines.
-func (c *farConn) Data(_ *link.Conn, b []byte) (int, error) {
+// Data reads lines. What cannot be read ends the connection at once, before what still waits to be written: whatever
+// comes behind it cannot be followed, so that set-ups open on it would wait for nothing.
+func (c *farConn) Data(l *link.Conn, b []byte) (int, error) {
 	core := c.far.fars.core
 	used := 0
 	for {
@@ -388,9 +412,9 @@
 		switch {
 		case err != nil:
 			core.M.Malformed.Inc()
-			if n == 0 {
-				return used, err
-			}
+			c.far.fars.log.Debug("far end cannot be read", zap.Error(err), zap.ByteString("from", b[used-n:min(len(b), used-n+160)]))
+			l.Close()
+			return used, err
 		case n == 0:
 			return used, nil
 		case m != nil:
@@ -405,12 +429,17 @@
 // lost: the set-ups that are open on a connection are given up with it; what stands belongs to no connection.
 func (c *farConn) lost() {
 	x := c.far
+	c.over = true
 	core := x.fars.core
 	if !slices.Contains(x.conns, c) {
 		return // it came up when it was not wanted any more
 	}
 	x.redialAt = 0
+	if core.Now()-c.upAt < resetPause {
+		x.pause() // reset when new, and the next one may be too
+	}
 	core.M.LinksLost.Inc()
+	x.fars.log.Debug("link lost", zap.String("far", x.addr), zap.Int("open", c.open))
 	first := x.conns[0] == c
 	x.conns = slices.DeleteFunc(x.conns, func(o *farConn) bool { return o == c })
 	if first && len(x.conns) > 0 && x.conns[0].state != nil {
@@ -422,10 +451,12 @@
 			continue
 		}
 		x.forget(a)
+		// Guards a sound far end: that one connection broke says nothing of its load or health. Where the process
+		// has died the next connection is refused, and that tells.
 		if l.ticket.Withdraw() { // not a byte of it was written: it never ran
-			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+			core.Ended(a, tinbeam.ConnectFailed, tinbeam.NoteLink, nil, 0)
 		} else {
-			core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
+			core.Ended(a, tinbeam.Reset, tinbeam.NoteLink, nil, farend.CauseReset)
 		}
 	}
 	x.dial(linksWanted)
@@ -485,6 +516,12 @@
 // sweep looks after what only time changes: connections to open, and far ends that have fallen silent.
 func (x *far) sweep() {
 	core := x.fars.core
+	for _, c := range slices.Clone(x.conns) {
+		if c.link.Stuck() > stuckAfter {
+			core.M.Malformed.Inc()
+			c.link.Close()
+		}
+	}
 	x.dial(linksWanted)
 	for uid, at := range x.checks {
 		if core.Now()-at > silentAfter {
