Callers: bounds on silent, flooding and reused; room for the usual ones

Of 1,728 connections that asked once and stay and 1,293 that never send a whole request none was ever let go. At fault: platform/callers.go invite answered nothing to a set-up under a known id, whoever sent it, and handed the answer of a call to the connection that had repeated its id; nothing bounded how long a connection may say nothing; link.Listen closed what is beyond the bound instead of making room. By reading: the map of ended calls and the legs held the whole head of a message by one substring (16 KiB by 20,000); netpoll reads on whatever its reader does, in blocks of up to 8 MB.

Now: 2 s for a first message, and for the rest of a message; room is made by closing the longest quiet among those that never spoke, then those without a call; a reused id is refused with 482, and on the connection of the first with another description both are ended; ids of 16 hex digits, text, and what fits into a far end's line, or 400, since a far end closes on what it cannot read; 256 set-ups open on a connection and 256 messages waiting, beyond it 503 unparked; bytes held, unread and queued follow the limit on memory; the kernel keeps 64 KiB of a caller's input. At SIGTERM whoever is still owed an answer 3.6 s later gets it, ahead of SIGKILL.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,7 @@
 const (
 	answerMargin = 15 * time.Millisecond  // a final answer leaves this much ahead of the caller's deadline
 	probeTimeout = 500 * time.Millisecond // a test without an answer has failed
-	callsMost    = 20000                  // calls held at once; what is beyond is refused before the module sees it
+	callBytes    = 8 << 10                // what a call may cost in memory, all its parts; half of that limit is for calls
 )
 
 // Caller is the side a call came from. A call gets exactly one of Answer and Refuse, and after an Answer one
@@ -109,6 +109,7 @@
 type Core struct {
 	*Loop
 	Set  tinbeam.Settings
+	most int // calls held at once; what is beyond is refused before the module sees it
 	M    *metrics.Set
 	log  *zap.Logger
 	ctl  *tinbeam.Controller
@@ -130,9 +131,9 @@
 	entry tinbeam.Entry
 }
 
-// New makes a core that knows no far end.
-func New(loop *Loop, set tinbeam.Settings, seed uint64, m *metrics.Set, log *zap.Logger, hook Hook) *Core {
-	return &Core{Loop: loop, Set: set, M: m, log: log, hook: hook, ctl: tinbeam.New(set, seed),
+// New makes a core that knows no far end. The calls it holds at once are bounded by the limit on memory, in bytes.
+func New(loop *Loop, set tinbeam.Settings, seed uint64, memory int, m *metrics.Set, log *zap.Logger, hook Hook) *Core {
+	return &Core{Loop: loop, Set: set, most: memory / 2 / callBytes, M: m, log: log, hook: hook, ctl: tinbeam.New(set, seed),
 		calls: map[uint32]*Call{}, places: map[uint32]*place{}, probes: map[uint32]*Timer{}}
 }
 
@@ -211,7 +212,7 @@
 	k.ref = c.next
 	c.calls[k.ref] = k
 	switch {
-	case len(c.calls) > callsMost:
+	case len(c.calls) > c.most:
 		c.refuse(k, false, c.Set.MaxPause)
 		return
 	case c.hook != nil && c.hook.Refuse(k):
@@ -469,6 +470,17 @@
 	c.tell(tinbeam.Sampled{Switch: id, Code: code, Took: max(took, time.Microsecond), Report: report})
 }
 
+// Clear gives every call that is owed one its final answer: there is no more time. What stands goes on.
+func (c *Core) Clear() {
+	for _, ref := range slices.Sorted(maps.Keys(c.calls)) {
+		if k := c.calls[ref]; k != nil && !k.answered {
+			c.M.LateAnswers.Inc()
+			c.refuse(k, true, 0)
+			c.tell(tinbeam.Withdrawn{Ref: ref})
+		}
+	}
+}
+
 // Owed is how many calls wait for their final answer.
 func (c *Core) Owed() int { return c.owed }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -44,7 +44,7 @@
 	set := tinbeam.Settings{Home: 0, Replicas: 3, MostTries: 4, MarksRedial: true, ReleaseWait: 300 * time.Millisecond,
 		ReportFields: []string{"idle", "circuits"}, Classes: []tinbeam.Class{
 			{Name: "check", Aim: time.Second, HardLimit: 9 * time.Second, Gain: 1, Width: 1, Repeat: "free"}}}
-	b.Core = New(NewLoop(func() time.Duration { return b.clock }), set, 1, metrics.New(), zap.NewNop(), hook)
+	b.Core = New(NewLoop(func() time.Duration { return b.clock }), set, 1, 64<<20, metrics.New(), zap.NewNop(), hook)
 	b.list(tinbeam.Ready)
 	b.Report(7, []float32{10, 10})
 	return b
@@ -126,6 +126,20 @@
 	}
 }
 
+// When there is no more time, every call that is owed an answer gets it, and what stands goes on.
+func TestClear(t *testing.T) {
+	b := newBench(nil)
+	b.offer("a", 5*time.Second)
+	b.offer("b", 5*time.Second)
+	b.Answered(b.sent[0], "x")
+	b.Clear()
+	b.Clear()
+	b.expect(t, "set up a", "set up b", "answer a x", "give up b", "refuse b true")
+	if b.Owed() != 0 || b.M.Standing.Value() != 1 {
+		t.Errorf("%d owed, %d stand", b.Owed(), b.M.Standing.Value())
+	}
+}
+
 func TestNothingFreshToOneThatDrains(t *testing.T) {
 	b := newBench(nil)
 	b.list(tinbeam.Draining)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -23,7 +23,8 @@
 const (
 	readyAfter = time.Second            // the agent takes calls at the latest then, whatever it could reach
 	termStay   = 800 * time.Millisecond // what still comes after SIGTERM comes within 0.6 s; it is taken and answered
-	termMost   = 12 * time.Second       // longer than any deadline: SIGKILL will have come
+	termLast   = 600 * time.Millisecond // from SIGTERM until the last request comes
+	termMost   = 3 * time.Second        // what still has no answer so long after that gets one: SIGKILL comes 0.1 s later
 )
 
 // App is one call agent.
@@ -54,10 +55,12 @@
 		}
 		hook = p
 	}
-	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, a.M, log, hook)
-	callers := platform.NewCallers(a.core, log, cfg.Listen)
+	memory := memoryMB(cfg) << 20
+	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, memory, a.M, log, hook)
+	most := callersMost(cfg.Sockets)
+	callers := platform.NewCallers(a.core, log, cfg.Listen, most*3/4, memory)
 	var err error
-	if a.ln, err = link.Listen(cfg.Listen, callersMost(cfg.Sockets), callers.Accept); err != nil {
+	if a.ln, err = link.Listen(cfg.Listen, most, unreadMost(memory, most), callers.Accept); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
 	if op.MGCPListen != "" {
@@ -79,6 +82,17 @@
 	return max(sockets*2/3, 16)
 }
 
+// unreadMost is how many bytes may wait for a caller that does not read: all of them together a quarter of the memory.
+func unreadMost(memory, callers int) int { return min(max(memory/4/callers, 16<<10), 256<<10) }
+
+// memoryMB is the limit on memory; not told, it is that of the larger scored days.
+func memoryMB(cfg *config.Config) int {
+	if cfg.MemoryMB <= 0 {
+		return 192
+	}
+	return cfg.MemoryMB
+}
+
 // begin runs on the loop: it opens the connections and passes tests once each far end has told of its group.
 func (a *App) begin(cfg *config.Config, op *config.Operator, callers *platform.Callers) {
 	waits := 1
@@ -177,7 +191,12 @@
 			}
 			a.core.WhenIdle(leave)
 			a.loop.After(termStay, func() { stayed = true; leave() })
-			a.loop.After(termMost, a.end)
+			// Guards against SIGKILL, which comes 0.7 s after the longest deadline at the earliest, 3 s where that is longer.
+			longest := time.Duration(0)
+			for _, k := range a.core.Set.Classes {
+				longest = max(longest, k.HardLimit)
+			}
+			a.loop.After(termLast+min(longest, termMost), a.core.Clear)
 		})
 	})
 }
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -35,6 +35,8 @@
 	"ends":   `->{"kind":"stop","uid":"ID","meta":{},"reason":16}`,
 	"over": "<-BYE sip:peer@net SIP/2.0\nVia: SIP/2.0/TCP {?};branch={?}\nMax-Forwards: 70\nCall-ID: ID\nCSeq: 1 BYE\n" +
 		"Reason: Q.850;cause=16\nContent-Length: 0\n",
+	"looped": "<-SIP/2.0 482 Loop Detected\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
+	"bad":    "<-SIP/2.0 400 Bad Request\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
 	"refused": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\n" +
 		"Content-Length: 0\n",
 }
@@ -480,7 +482,7 @@
 	case "<-":
 		x.expect(what, x.text(text))
 	case "half":
-		p.wait(what, func() bool { return len(x.conns) > 1 })
+		p.wait(what, func() bool { return len(x.conns) > 1 || !x.far })
 		p.mu.Lock()
 		conns := append([]net.Conn(nil), x.conns...)
 		p.mu.Unlock()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -18,7 +18,9 @@
 const (
 	maxQueued    = 256 << 10       // bytes that may wait for a peer that does not read
 	maxWrite     = 32 << 10        // bytes handed to the kernel at once: what is behind them can still be taken back
-	maxInput     = 64 << 10        // bytes kept of a message that is not whole
+	maxInput     = 1<<20 + 64      // bytes kept of a message that is not whole; the parsers' own bounds are lower
+	maxBite      = 32 << 10        // bytes of input shown at once
+	maxKernel    = 64 << 10        // bytes that the kernel keeps of a caller's input
 	writeTimeout = 3 * time.Second // a peer that reads nothing for so long is gone
 )
 
@@ -56,6 +58,8 @@
 	wake    sync.Cond
 	queue   []message
 	queued  int
+	most    int  // bytes that may be queued
+	writing bool // the writing goroutine runs, from the first message on
 	closing bool // nothing more is queued; closed when all is written
 	closed  bool
 	told    sync.Once
@@ -66,15 +70,15 @@
 	ticket *Ticket
 }
 
-func attach(np netpoll.Connection, ev Events) *Conn {
-	c := &Conn{np: np, events: ev}
+func attach(np netpoll.Connection, most int, events func(*Conn) Events) *Conn {
+	c := &Conn{np: np, most: most}
+	c.events = events(c)
 	c.wake.L = &c.mu
 	_ = np.SetWriteTimeout(writeTimeout)
 	_ = np.AddCloseCallback(func(netpoll.Connection) error {
 		c.stop()
 		return nil
 	})
-	go c.writeLoop()
 	return c
 }
 
@@ -84,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := attach(np, ev)
+	c := attach(np, maxQueued, func(*Conn) Events { return ev })
 	if err := np.SetOnRequest(c.onRequest); err != nil {
 		c.Close()
 		return nil, err
@@ -110,9 +114,16 @@
 }
 
 // Listen opens addr; accept gives each new connection its events. More connections than most are closed at once: the
-// descriptors that are left belong to the far ends.
-func Listen(addr string, most int, accept func() Events) (*Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+// descriptors that are left belong to the far ends. On each at most queued bytes wait for a peer that does not read.
+func Listen(addr string, most, queued int, accept func(*Conn) Events) (*Listener, error) {
+	// Guards the memory: netpoll reads whatever the kernel has, whether or not it is handled, in ever larger blocks.
+	// What the kernel has is bounded here, for all connections taken in.
+	narrow := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxKernel)
+		})
+	}}
+	ln, err := narrow.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +147,7 @@
 				_ = np.Close()
 				return context.Background()
 			}
-			return context.WithValue(context.Background(), key{}, attach(np, accept()))
+			return context.WithValue(context.Background(), key{}, attach(np, queued, accept))
 		}))
 	if err != nil {
 		ln.Close()
@@ -167,29 +178,36 @@
 	if err != nil {
 		return nil // the close callback tells
 	}
-	c.in = append(c.in, b...)
-	_ = r.Release()
-	c.mu.Lock()
-	closing := c.closing
-	c.mu.Unlock()
-	if closing {
-		c.in = c.in[:0]
-		return nil
-	}
-	used, err := c.events.Data(c, c.in)
-	c.in = append(c.in[:0], c.in[min(max(used, 0), len(c.in)):]...)
-	if err != nil || len(c.in) > maxInput {
-		c.in = c.in[:0]
-		c.Finish()
+	// Shown bite by bite, so that what is kept of a message stays small however much has come.
+	for len(b) > 0 && !c.ended() {
+		n := min(len(b), maxBite)
+		c.in = append(c.in, b[:n]...)
+		b = b[n:]
+		used, err := c.events.Data(c, c.in)
+		used = min(max(used, 0), len(c.in))
+		c.in = append(c.in[:0], c.in[used:]...)
+		if err != nil || len(c.in) > maxInput {
+			c.Finish()
+		}
+		if len(c.in) == 0 {
+			c.part.Store(0)
+		} else if used > 0 || c.part.Load() == 0 {
+			c.part.Store(int64(clock()))
+		}
 	}
-	if len(c.in) == 0 {
-		c.part.Store(0)
-	} else if used > 0 || c.part.Load() == 0 {
-		c.part.Store(int64(clock()))
+	if c.ended() || len(c.in) == 0 && cap(c.in) > 2*maxBite {
+		c.in = nil
 	}
+	_ = r.Release()
 	return nil
 }
 
+func (c *Conn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing || c.closed
+}
+
 // clock only ever grows, from 1.
 var clock = func() func() time.Duration {
 	start := time.Now()
@@ -212,23 +230,35 @@
 		c.mu.Unlock()
 		return false
 	}
-	if c.queued+len(b) > maxQueued {
+	if c.queued+len(b) > c.most {
 		c.mu.Unlock()
 		c.Close()
 		return false
 	}
 	c.queue = append(c.queue, message{b, t})
 	c.queued += len(b)
-	c.wake.Signal()
+	c.write()
 	c.mu.Unlock()
 	return true
 }
 
+// write has the writing goroutine go on; it is there from the first message on, so that peers to whom nothing is said
+// cost little.
+func (c *Conn) write() {
+	if !c.writing {
+		c.writing = true
+		go c.writeLoop()
+	}
+	c.wake.Signal()
+}
+
 // Finish closes the connection once all that is queued has been written.
 func (c *Conn) Finish() {
 	c.mu.Lock()
 	c.closing = true
-	c.wake.Signal()
+	if !c.closed {
+		c.write()
+	}
 	c.mu.Unlock()
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -73,7 +73,7 @@
 
 // Guards the descriptors: more connections than allowed are closed at once, and the others go on.
 func TestConnectionsBounded(t *testing.T) {
-	l, err := Listen("127.0.0.1:0", 1, func() Events { return quiet{make(chan struct{})} })
+	l, err := Listen("127.0.0.1:0", 1, maxQueued, func(*Conn) Events { return quiet{make(chan struct{})} })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 	ListEvents, ListGaps, ListReconnects                    *Counter
 	Reloads, ReloadsFailed                                  *Counter
 	Malformed, Stray, Repeated                              *Counter
+	CallersIn, CallersSilent, CallersEvicted, Flooded       *Counter
 	Violations, Panics, LateAnswers                         *Counter
 	PluginCalls, PluginRefusals, PluginFailures             *Counter
 	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts *Counter
@@ -87,6 +88,10 @@
 	add(&s.Malformed, "malformed_total", "messages that could not be read")
 	add(&s.Stray, "stray_total", "messages about calls or transactions that are not known")
 	add(&s.Repeated, "repeated_total", "messages that came again and were not acted on twice")
+	gauge(&s.CallersIn, "caller_connections", "connections that callers hold now")
+	add(&s.CallersSilent, "callers_silent_total", "callers' connections closed since no whole message came in time")
+	add(&s.CallersEvicted, "callers_evicted_total", "callers' connections without a set-up closed to make room")
+	add(&s.Flooded, "flooded_total", "set-ups refused at the door since a connection, or all together, sent too many")
 	add(&s.Violations, "violations_total", "conditions that must hold and did not")
 	add(&s.Panics, "panics_total", "decisions that failed")
 	add(&s.LateAnswers, "late_answers_total", "final answers that the core gave itself at the deadline")
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -4,26 +4,36 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
 	"tinbeam"
 	"tinbeam/internal/agent"
+	"tinbeam/internal/farend"
 	"tinbeam/internal/link"
 	"tinbeam/internal/sip"
 )
 
 const (
-	ackWait    = time.Second // an answer that crossed a CANCEL and is not acknowledged in this time is released
-	byeEvery   = 300 * time.Millisecond
-	byeMost    = 8 * time.Second // a release that could not be delivered in this time is of no more use
-	legsMost   = 20000
-	doneFor    = 30 * time.Second // how long it is remembered that a call was answered
-	doneMost   = 20000
+	ackWait  = time.Second // an answer that crossed a CANCEL and is not acknowledged in this time is released
+	byeEvery = 300 * time.Millisecond
+	byeMost  = 8 * time.Second  // a release that could not be delivered in this time is of no more use
+	doneFor  = 30 * time.Second // how long it is remembered that a call was answered
+	doneMost = 20000
+
+	// What one connection may do. The usual callers stay far below, and none of it depends on who they are.
+	silentMost = 2 * time.Second // from when it came, or a message of it began, until that message is whole
+	openMost   = 256             // set-ups on it without an answer
+	aheadMost  = 256             // messages of it that are read and not handled yet
+	wrongMost  = 16              // requests of it that were refused for what they are
+	youngMost  = 50 * time.Millisecond
 	testLinger = 700 * time.Millisecond // a test that comes before the agent is ready waits for it so long
 )
 
@@ -35,8 +45,13 @@
 	ready  bool
 	legs   map[string]*callLeg // by Call-ID
 	conns  []*callerConn       // open, the latest to say something last
+	room   int                 // connections beyond which those without a set-up make room
+	held   int                 // bytes of set-ups that are not over
+	most   int                 // bytes of set-ups held, and of messages waiting to be handled
+	ahead  atomic.Int64        // bytes of messages read and not handled yet
 	byes   map[string]*callLeg // releases that no caller has confirmed
-	done   map[string]bool     // calls that are over and had their final answer
+	done   map[string]uint64   // calls that are over and had their final answer, with the connection they came on
+	came   uint64              // connections so far
 	order  []doneCall          // the same, oldest first
 	tests  []func()
 	branch uint64
@@ -46,7 +61,9 @@
 type callLeg struct {
 	call   *agent.Call
 	conn   *callerConn
-	invite *sip.Message
+	invite *sip.Message // what its answers copy
+	size   int
+	open   bool // it has no final answer
 	acked  bool
 	bye    []byte
 	byeOn  *callerConn
@@ -61,10 +78,14 @@
 // over forgets a call, but not that it was answered. Guards against a set-up that comes again behind its answer: it would
 // run as a new call, and be answered a second time.
 func (s *Callers) over(id string) {
-	delete(s.byes, id)
-	delete(s.legs, id)
-	if !s.done[id] {
-		s.done[id] = true
+	leg := s.legs[id]
+	if leg == nil {
+		return
+	}
+	id = leg.call.ID // what came with a message keeps the whole of it in memory
+	s.forget(id)
+	if _, ok := s.done[id]; !ok {
+		s.done[id] = leg.conn.num
 		s.order = append(s.order, doneCall{id, s.core.Now()})
 	}
 	for len(s.order) > 0 && (len(s.order) > doneMost || s.core.Now()-s.order[0].at > doneFor) {
@@ -73,17 +94,44 @@
 	}
 }
 
+// forget drops what is kept of a call.
+func (s *Callers) forget(id string) {
+	if leg := s.legs[id]; leg != nil {
+		s.settle(leg)
+		delete(leg.conn.legs, id)
+		delete(s.legs, id)
+		s.held -= leg.size
+	}
+	delete(s.byes, id)
+}
+
+// settle notes that a set-up has its final answer, or is owed none.
+func (s *Callers) settle(leg *callLeg) {
+	if leg.open {
+		leg.open = false
+		leg.conn.open--
+	}
+}
+
 // callerConn is one connection; its methods Data and Closed run outside the loop and only post.
 type callerConn struct {
-	side *Callers
-	link *link.Conn // set on the loop by the first message
-	over bool
+	side  *Callers
+	link  *link.Conn
+	num   uint64
+	over  bool
+	said  bool                // a whole message has come
+	at    time.Duration       // when the last one came, or the connection
+	legs  map[string]*callLeg // set up here and not over
+	open  int                 // of them without a final answer
+	wrong int                 // requests refused for what they are
+	ahead atomic.Int32        // messages read and not handled yet
 }
 
-// NewCallers makes the caller side; local is written where a SIP message names the agent.
-func NewCallers(core *agent.Core, log *zap.Logger, local string) *Callers {
+// NewCallers makes the caller side; local is written where a SIP message names the agent. Beyond room connections, those
+// without a set-up make room for new ones; memory is the agent's limit in bytes.
+func NewCallers(core *agent.Core, log *zap.Logger, local string, room, memory int) *Callers {
 	s := &Callers{core: core, log: log, local: local, legs: map[string]*callLeg{}, byes: map[string]*callLeg{},
-		done: map[string]bool{}}
+		done: map[string]uint64{}, room: room, most: memory / 16}
 	var sweep func()
 	sweep = func() {
 		s.sweep()
@@ -94,7 +142,44 @@
 }
 
 // Accept gives a new connection its object.
-func (s *Callers) Accept() link.Events { return &callerConn{side: s} }
+func (s *Callers) Accept(l *link.Conn) link.Events {
+	c := &callerConn{side: s, link: l, legs: map[string]*callLeg{}}
+	s.core.Post(func() {
+		s.came++
+		c.num, c.at = s.came, s.core.Now()
+		s.conns = append(s.conns, c)
+		s.core.M.CallersIn.Set(int64(len(s.conns)))
+		if len(s.conns) > s.room {
+			s.evict()
+		}
+	})
+	return c
+}
+
+// evict makes room: it closes the connection that has been quiet longest among those that never said anything, else among
+// those without a set-up, else without a call. Guards the usual callers' place against connections that are only held.
+func (s *Callers) evict() {
+	var pick *callerConn
+	best := 3
+	for _, c := range s.conns {
+		rank := 2
+		switch {
+		case c.open > 0 || c.ahead.Load() > 0 || s.core.Now()-c.at < youngMost:
+			continue
+		case !c.said:
+			rank = 0
+		case len(c.legs) == 0:
+			rank = 1
+		}
+		if rank < best {
+			pick, best = c, rank
+		}
+	}
+	if pick != nil {
+		s.core.M.CallersEvicted.Inc()
+		pick.link.Close()
+	}
+}
 
 // Ready tells that the agent can take calls: tests are passed from now on.
 func (s *Callers) Ready() {
@@ -115,6 +200,7 @@
 		used += n
 		if err != nil {
 			core.M.Malformed.Inc()
+			c.side.log.Debug("caller cannot be read", zap.Error(err), zap.ByteString("from", b[used:min(len(b), used+160)]))
 			if m != nil && m.Method != "" && m.Method != "ACK" {
 				status, reason := 400, "Bad Request"
 				if err == sip.ErrTooLong {
@@ -127,10 +213,29 @@
 		if m == nil {
 			return used, nil
 		}
-		core.Post(func() { c.message(l, m) })
+		// Guards the queue and the memory against requests by the hundred: what is beyond is refused here, at the cost of
+		// reading it.
+		size := int64(n)
+		if c.ahead.Add(1) > aheadMost || c.side.ahead.Add(size) > int64(c.side.most) {
+			core.M.Flooded.Inc()
+			if m.Method != "" && m.Method != "ACK" {
+				l.Send(m.Answer(503, "Service Unavailable", "").Append(nil), nil)
+			}
+			c.handled(size)
+			continue
+		}
+		core.Post(func() {
+			c.handled(size)
+			c.message(m)
+		})
 	}
 }
 
+func (c *callerConn) handled(size int64) {
+	c.ahead.Add(-1)
+	c.side.ahead.Add(-size)
+}
+
 // Closed tells that the connection has ended.
 func (c *callerConn) Closed(*link.Conn) { c.side.core.Post(c.lost) }
 
@@ -138,28 +243,22 @@
 	s := c.side
 	c.over = true
 	s.conns = slices.DeleteFunc(s.conns, func(o *callerConn) bool { return o == c })
-	var gone []*callLeg
-	for _, l := range s.legs {
-		if l.conn == c && l.call != nil && l.bye == nil {
-			gone = append(gone, l)
-		}
-	}
-	slices.SortFunc(gone, func(a, b *callLeg) int { return strings.Compare(a.call.ID, b.call.ID) })
-	for _, l := range gone {
-		if !l.call.Standing() { // a call that stands belongs to no connection
-			delete(s.legs, l.call.ID)
-			s.core.Abandoned(l.call)
+	s.core.M.CallersIn.Set(int64(len(s.conns)))
+	for _, id := range slices.Sorted(maps.Keys(c.legs)) {
+		if leg := c.legs[id]; leg.open { // a call that stands belongs to no connection
+			s.forget(id)
+			s.core.Abandoned(leg.call)
 		}
 	}
 }
 
 // touch keeps the connections in the order in which they last said something.
-func (c *callerConn) touch(l *link.Conn) {
+func (c *callerConn) touch() {
 	s := c.side
 	if c.over {
 		return
 	}
-	c.link = l
+	c.said, c.at = true, s.core.Now()
 	if n := len(s.conns); n > 0 && s.conns[n-1] == c {
 		return
 	}
@@ -169,9 +268,16 @@
 
 func (c *callerConn) send(m *sip.Message) bool { return !c.over && c.link.Send(m.Append(nil), nil) }
 
-func (c *callerConn) message(l *link.Conn, m *sip.Message) {
-	c.touch(l)
-	c.link = l
+// wrongly refuses a request for what it is. A connection that goes on sending such is closed.
+func (c *callerConn) wrongly(m *sip.Message, status int, reason string, more ...sip.Header) {
+	c.send(m.Answer(status, reason, "", more...))
+	if c.wrong++; c.wrong >= wrongMost && c.open == 0 {
+		c.link.Finish()
+	}
+}
+
+func (c *callerConn) message(m *sip.Message) {
+	c.touch()
 	s := c.side
 	id := m.Get("Call-ID")
 	leg := s.legs[id]
@@ -189,7 +295,7 @@
 			leg.acked = true
 		}
 	case "CANCEL":
-		if leg == nil {
+		if leg == nil || leg.open && leg.conn != c { // a set-up belongs to its connection, a call that stands to none
 			s.unknown(c, id, m)
 			return
 		}
@@ -197,7 +303,7 @@
 		if leg.bye != nil {
 			return
 		}
-		if !leg.call.Standing() {
+		if leg.open {
 			s.over(id)
 			s.core.Abandoned(leg.call)
 			leg.conn.send(leg.invite.Answer(487, "Request Terminated", ""))
@@ -228,14 +334,13 @@
 	case "OPTIONS":
 		s.test(c, m)
 	default:
-		c.send(m.Answer(405, "Method Not Allowed", "",
-			sip.Header{Name: "Allow", Value: "INVITE, ACK, CANCEL, BYE, OPTIONS"}))
+		c.wrongly(m, 405, "Method Not Allowed", sip.Header{Name: "Allow", Value: "INVITE, ACK, CANCEL, BYE, OPTIONS"})
 	}
 }
 
 // unknown answers a request about a call that is not there: one that is just over was told so, any other never was.
 func (s *Callers) unknown(c *callerConn, id string, m *sip.Message) {
-	if s.done[id] {
+	if _, ok := s.done[id]; ok {
 		s.core.M.Repeated.Inc()
 		c.send(m.Answer(200, "OK", ""))
 		return
@@ -279,45 +384,73 @@
 }
 
 func (s *Callers) invite(c *callerConn, id string, m *sip.Message) {
-	if leg := s.legs[id]; leg != nil {
-		// Guards against a set-up that comes again: it must not run twice. Its answer goes where it was last asked.
+	if c.over {
+		return // the caller closed the connection behind the set-up: its end was told before this was read
+	}
+	// Guards against a set-up that comes again: it must not run twice, nor get a second answer, and the id of a call may
+	// serve nobody else. A copy on the connection of the first has its answer in the first's; any other is refused.
+	leg := s.legs[id]
+	on, done := s.done[id]
+	switch {
+	case done && on == c.num, leg != nil && leg.conn == c &&
+		(!leg.open || leg.call.Description == m.Body && leg.call.Number == m.User()):
 		s.core.M.Repeated.Inc()
-		if leg.conn.over && !leg.call.Standing() {
-			leg.conn = c
-		}
 		return
-	}
-	if s.done[id] {
+	case leg != nil && leg.open && leg.conn == c:
+		// Two requests of one id on one connection: no answer to either could be told from the other's.
+		s.core.M.Malformed.Inc()
+		s.over(id)
+		s.core.Abandoned(leg.call)
+		c.send(m.Answer(400, "Bad Request", ""))
+		c.link.Finish()
+		return
+	case leg != nil || done:
 		s.core.M.Repeated.Inc()
+		c.wrongly(m, 482, "Loop Detected")
 		return
 	}
 	k, err := s.parse(id, m)
 	if err != nil {
 		s.core.M.Malformed.Inc()
 		s.log.Debug("set-up refused", zap.Error(err))
-		c.send(m.Answer(400, "Bad Request", ""))
+		c.wrongly(m, 400, "Bad Request")
 		return
 	}
-	if len(s.legs) >= legsMost {
+	head := m.Head()
+	leg = &callLeg{call: k, conn: c, invite: head, size: len(k.Description), open: true}
+	for _, h := range head.Headers {
+		leg.size += len(h.Name) + len(h.Value)
+	}
+	if c.open >= openMost || s.held+leg.size > s.most {
+		s.core.M.Flooded.Inc()
 		c.send(m.Answer(503, "Service Unavailable", ""))
 		return
 	}
-	m.Body = "" // the call keeps it
-	leg := &callLeg{call: k, conn: c, invite: m}
 	k.Leg = leg
-	s.legs[id] = leg
-	if c.over {
-		// The caller closed the connection behind the set-up: its end was told before this was read.
-		delete(s.legs, id)
-		return
-	}
+	s.legs[id], c.legs[id] = leg, leg
+	c.open++
+	s.held += leg.size
 	s.core.Offer(k)
 }
 
+// hex16 tells whether an id is one that this protocol has.
+func hex16(id string) bool {
+	_, err := strconv.ParseUint(id, 16, 64)
+	return err == nil && len(id) == 16
+}
+
 func (s *Callers) parse(id string, m *sip.Message) (*agent.Call, error) {
-	k := &agent.Call{ID: id, Number: m.User(), Class: -1, Description: m.Body, Caller: s, Dest: -1, Via: -1}
-	if id == "" {
-		return nil, fmt.Errorf("no Call-ID")
+	// Cloned, since they outlive the message, whose strings are parts of one.
+	k := &agent.Call{ID: strings.Clone(id), Number: strings.Clone(m.User()), Class: -1, Description: strings.Clone(m.Body),
+		Caller: s, Dest: -1, Via: -1}
+	// Guards every other call on a connection to a far end: what a far end cannot read makes it close the connection.
+	switch {
+	case !hex16(id):
+		return nil, fmt.Errorf("Call-ID %q is not 16 hex digits", id)
+	case !utf8.ValidString(k.Number) || !utf8.ValidString(k.Description):
+		return nil, fmt.Errorf("the number or the description is no text")
+	case len(k.Description)+len(k.Number) > farend.MaxLine/8 && len(launch(k, "", 0).Append(nil)) > farend.MaxLine-64:
+		return nil, fmt.Errorf("the description is too long to be passed on")
 	}
 	for i, cl := range s.core.Set.Classes {
 		if cl.Name == m.Get("P-Kind") {
@@ -353,6 +486,9 @@
 		case "dest":
 			k.Dest = int(v)
 		case "width":
+			if v <= 0 {
+				return nil, fmt.Errorf("P-Path %q", part)
+			}
 			k.Width = v
 		case "via":
 			k.Via = int(v)
@@ -375,6 +511,7 @@
 // Answer tells the caller that its call stands.
 func (s *Callers) Answer(k *agent.Call, description string) {
 	leg := k.Leg.(*callLeg)
+	s.settle(leg)
 	leg.conn.send(leg.invite.Answer(200, "OK", description))
 }
 
@@ -446,5 +583,12 @@
 			s.sendBye(leg)
 		}
 	}
+	for _, c := range s.conns {
+		// Guards the descriptors against those that open a connection, or begin a message, and say nothing more.
+		if !c.said && s.core.Now()-c.at > silentMost || c.link.Stuck() > silentMost {
+			s.core.M.CallersSilent.Inc()
+			c.link.Close()
+		}
+	}
 	s.core.M.QueueLength.Set(int64(s.core.Queued()))
 }
--- /dev/null
+++ b/internal/platform/callers_test.go
@@ -0,0 +1,95 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	"tinbeam/internal/agent"
+	"tinbeam/internal/link"
+	"tinbeam/internal/metrics"
+	"tinbeam/internal/sip"
+)
+
+func side() *Callers {
+	set := tinbeam.Settings{Classes: []tinbeam.Class{{Name: "check", Aim: time.Second, HardLimit: 9 * time.Second}}}
+	core := agent.New(agent.NewLoop(agent.SystemClock()), set, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
+	return NewCallers(core, zap.NewNop(), "here", 100, 64<<20)
+}
+
+func invite(id, kind, left, path, body string) *sip.Message {
+	return &sip.Message{Method: "INVITE", URI: "sip:7f3a9c21e0b4d655@net", Body: body, Headers: []sip.Header{
+		{Name: "Call-ID", Value: id}, {Name: "P-Kind", Value: kind}, {Name: "P-Time-Left", Value: left},
+		{Name: "P-Path", Value: path}}}
+}
+
+// What a far end could not read would make it close a connection that others' calls are on, and a figure that is none
+// would be reckoned with.
+func TestSetUpsThatMakeNoSense(t *testing.T) {
+	const id, path = "9b1f03aa5c7e2d41", "dest:1;width:1;via:-1"
+	for _, c := range []struct {
+		m  *sip.Message
+		ok bool
+	}{
+		{invite(id, "check", "1500", path, "v=0"), true},
+		{invite(id, "check", "1500", path, strings.Repeat("x", 15<<10)), true},
+		{invite(id, "check", "1500", path, strings.Repeat("\r\n", 7<<10)), false}, // longer as JSON than a line may be
+		{invite(id, "check", "1500", path, "v=\xff"), false},
+		{invite("", "check", "1500", path, "v=0"), false},
+		{invite("9b1f03aa5c7e2d4", "check", "1500", path, "v=0"), false},
+		{invite("9b1f03aa5c7e2d4g", "check", "1500", path, "v=0"), false},
+		{invite(id, "gold", "1500", path, "v=0"), false},
+		{invite(id, "check", "NaN", path, "v=0"), false},
+		{invite(id, "check", "-1", path, "v=0"), false},
+		{invite(id, "check", "1e300", path, "v=0"), false},
+		{invite(id, "check", "1500", "dest:-1", "v=0"), false},
+		{invite(id, "check", "1500", "dest:NaN", "v=0"), false},
+		{invite(id, "check", "1500", "dest:1;width:0", "v=0"), false},
+		{invite(id, "check", "1500", "dest:1;width:Inf", "v=0"), false},
+	} {
+		if _, err := side().parse(c.m.Get("Call-ID"), c.m); (err == nil) != c.ok {
+			t.Errorf("%.200q: %v", c.m.Append(nil), err)
+		}
+	}
+}
+
+// Guards the queue: with nothing handled, what is beyond the bound of a connection is refused at the door.
+func TestFlood(t *testing.T) {
+	s := side()
+	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	const beyond = 40
+	var b []byte
+	for i := 0; i < aheadMost+beyond; i++ {
+		b = invite(fmt.Sprintf("%016x", i), "check", "1500", "dest:1", "v=0").Append(b)
+	}
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	var got []byte
+	for buf := make([]byte, 4096); bytes.Count(got, []byte("SIP/2.0 503 ")) < beyond; {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, buf[:n]...)
+	}
+	if n := s.core.Queued(); n != aheadMost+1 { // and the connection's own event
+		t.Errorf("%d events wait, want %d", n, aheadMost+1)
+	}
+}
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -238,15 +238,21 @@
 	return best
 }
 
-func (c *farConn) launch(a *agent.Attempt) {
-	k, l := a.Call, a.Leg.(*leg)
-	core := c.far.fars.core
-	left := max(a.Left-(core.Now()-a.SentAt), time.Millisecond)
+// launch is the set-up of a call as a far end reads it.
+func launch(k *agent.Call, class string, left time.Duration) *farend.Line {
 	m := &farend.Line{Kind: farend.Launch, UID: k.ID, Body: k.Description, Meta: map[string]string{
-		"class": core.Set.Classes[k.Class].Name, "left": strconv.FormatInt(left.Milliseconds(), 10)}}
+		"class": class, "left": strconv.FormatInt(left.Milliseconds(), 10)}}
 	if k.Number != "" {
 		m.Meta["key"] = k.Number
 	}
+	return m
+}
+
+func (c *farConn) launch(a *agent.Attempt) {
+	k, l := a.Call, a.Leg.(*leg)
+	core := c.far.fars.core
+	left := max(a.Left-(core.Now()-a.SentAt), time.Millisecond)
+	m := launch(k, core.Set.Classes[k.Class].Name, left)
 	l.conn = c
 	c.open++
 	if e := c.far.fars.log.Check(zap.DebugLevel, "set-up"); e != nil {
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -151,6 +151,16 @@
 	return append(append(dst, "\r\n\r\n"...), m.Body...)
 }
 
+// Head is the request without what is of no use once it has been taken in: what its answers copy, and no more. It shares
+// no memory with the message, whose strings are parts of one.
+func (m *Message) Head() *Message {
+	h := &Message{Method: strings.Clone(m.Method)}
+	for _, x := range m.Answer(0, "", "").Headers {
+		h.Headers = append(h.Headers, Header{strings.Clone(x.Name), strings.Clone(x.Value)})
+	}
+	return h
+}
+
 // Answer is the answer to a request: its path and identity are copied, as section 8.2.6.2 asks.
 func (m *Message) Answer(status int, reason, body string, more ...Header) *Message {
 	r := &Message{Status: status, Reason: reason, Body: body}
