Close a connection that is silent while its far end is heard on others; count only open set-ups

At fault: platform/fars.go. One of its two connections had stopped: silence was judged by far end, not by connection (far.heard), and best counted the calls that stand, of which a stuck connection has none, so that it was taken first for every set-up that followed. Ruled out: links lost (0 on n0), the module's gaps (opened and lifted within a second), 'broke off' answers (6 in all), processor time and memory. Now: each state of the group comes on all connections, so one that misses two of them and says nothing for 300 ms is closed; its set-ups end as broken links. Where a set-up has been out for 400 ms and nothing at all is heard, one more connection is opened, which brings the state first and so tells. best counts set-ups without an answer.

--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -449,7 +449,8 @@
 	}
 	x := p.party(words[0])
 	if m, ok := says[words[1]]; ok {
-		text = strings.Split(strings.NewReplacer("Call-ID: ID", "Call-ID: "+words[2], `"ID"`, `"`+words[2]+`"`).Replace(m[2:]), "\n")
+		id := p.fill(words[2])
+		text = strings.Split(strings.NewReplacer("Call-ID: ID", "Call-ID: "+id, `"ID"`, `"`+id+`"`).Replace(m[2:]), "\n")
 		words = []string{words[0], m[:2], words[2]}
 	}
 	switch words[1] {
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -24,7 +24,8 @@
 	farsMany     = 128 // more far ends get one connection each: the descriptors are bounded
 	redialPause  = 200 * time.Millisecond
 	resetPause   = 20 * time.Millisecond  // after a connection that was reset as it came up
-	stuckAfter   = 300 * time.Millisecond // a line of which no more comes for so long never ends
+	stuckAfter   = 300 * time.Millisecond // a line of which no more comes for so long never ends, nor does silence
+	knockAfter   = 400 * time.Millisecond // a far end that owes an answer and says nothing for so long gets a new connection
 	sweepEvery   = 250 * time.Millisecond
 	testAfter    = 2 * time.Second // a far end with work of ours that says nothing for so long is tested
 	silentAfter  = 5 * time.Second // and given up after this: what stood there must be released within 8 s of its end
@@ -62,17 +63,21 @@
 
 // farConn is one connection; its methods Data and Closed run outside the loop and only post.
 type farConn struct {
-	far   *far
-	link  *link.Conn
-	upAt  time.Duration
-	over  bool
-	open  int
-	state []float32 // the last of the group that came here
+	far  *far
+	link *link.Conn
+	upAt time.Duration
+	over bool
+	// states of the group that came on the others since something came here, and since when they are too many
+	missed   int
+	missedAt time.Duration
+	open     int       // set-ups on it that are not answered
+	state    []float32 // the last of the group that came here
 }
 
 // leg is what this front keeps of an attempt.
 type leg struct {
 	conn   *farConn
+	open   bool // it has no answer yet
 	ticket link.Ticket
 	expire *agent.Timer // while it waits for a connection
 }
@@ -199,7 +204,15 @@
 	x.fars.core.Stop(l.expire)
 	if l.conn == nil {
 		x.waiting = slices.DeleteFunc(x.waiting, func(w *agent.Attempt) bool { return w == a })
-	} else {
+	}
+	l.answered()
+}
+
+// answered takes a set-up off what its connection has open. Calls that stand belong to no connection and do not count:
+// one that is stuck would have none, and be the next one's choice for ever.
+func (l *leg) answered() {
+	if l.open {
+		l.open = false
 		l.conn.open--
 	}
 }
@@ -227,7 +240,7 @@
 	x.dial(linksWanted)
 }
 
-// best is the connection with the fewest set-ups and calls on it.
+// best is the connection with the fewest set-ups open on it.
 func (x *far) best() *farConn {
 	var best *farConn
 	for _, c := range x.conns {
@@ -253,7 +266,7 @@
 	core := c.far.fars.core
 	left := max(a.Left-(core.Now()-a.SentAt), time.Millisecond)
 	m := launch(k, core.Set.Classes[k.Class].Name, left)
-	l.conn = c
+	l.conn, l.open = c, true
 	c.open++
 	if e := c.far.fars.log.Check(zap.DebugLevel, "set-up"); e != nil {
 		e.Write(zap.String("far", c.far.addr), zap.String("uid", k.ID), zap.Float64("width", k.Width))
@@ -473,6 +486,7 @@
 	x := c.far
 	core := x.fars.core
 	x.heard, x.testing = core.Now(), false
+	c.missed = 0
 	a := x.attempts[m.UID]
 	if e := x.fars.log.Check(zap.DebugLevel, m.Kind); e != nil {
 		e.Write(zap.String("far", x.addr), zap.String("uid", m.UID), zap.Int("cause", m.Cause), zap.Any("meta", m.Meta))
@@ -484,6 +498,7 @@
 			core.M.Stray.Inc() // it crossed the stop of its set-up, which ends it at the far end
 			return
 		}
+		a.Leg.(*leg).answered()
 		core.Answered(a, m.Body)
 	case farend.Stop:
 		if a == nil {
@@ -502,6 +517,11 @@
 			core.Report(x.id, c.state)
 		}
 		x.ready()
+		for _, o := range x.conns {
+			if o != c {
+				o.miss(core.Now())
+			}
+		}
 	case farend.Checked:
 		at, ok := x.checks[m.UID]
 		if !ok {
@@ -519,12 +539,26 @@
 	}
 }
 
+// miss notes a state of the group that came on another connection. Each comes on all of them, at nearly the same time: the
+// last one may have come here first, but not the one before.
+func (c *farConn) miss(now time.Duration) {
+	if c.missed++; c.missed == 2*(len(c.far.conns)-1) {
+		c.missedAt = now
+	}
+}
+
+// stuck tells that a connection stays open and is of no more use: a line on it does not end, or the far end is heard on
+// others and not here.
+func (c *farConn) stuck(now time.Duration) bool {
+	return c.link.Stuck() > stuckAfter || c.missed >= 2*(len(c.far.conns)-1) && c.missed > 0 && now-c.missedAt > stuckAfter
+}
+
 // sweep looks after what only time changes: connections to open, and far ends that have fallen silent.
 func (x *far) sweep() {
 	core := x.fars.core
 	for _, c := range slices.Clone(x.conns) {
-		if c.link.Stuck() > stuckAfter {
-			core.M.Malformed.Inc()
+		if c.stuck(core.Now()) {
+			core.M.SilentLinks.Inc()
 			c.link.Close()
 		}
 	}
@@ -549,7 +583,20 @@
 		x.testing = true
 		x.check()
 		x.knock()
+	case quiet > knockAfter && len(x.conns) < linksMost && x.owes(knockAfter):
+		// All its connections may be stuck. A new one brings the state of the group before anything else, and so tells.
+		x.dial(linksMost)
+	}
+}
+
+// owes tells whether a set-up has been out for so long.
+func (x *far) owes(long time.Duration) bool {
+	for _, a := range x.attempts {
+		if !a.Standing() && x.fars.core.Now()-a.SentAt > long {
+			return true
+		}
 	}
+	return false
 }
 
 // knock opens one more connection to a far end that says nothing. Guards the calls that stand at one that merely hangs:
