Serve after SIGTERM until nothing is left, keep callers with standing calls, own calls go round

Refusals logged one by one: 13 to 30 a second are for the own exchange ('dest0' on n0), from 4 s on, while n2 is down and its callers come here; each was refused within a millisecond. Each agent ended 0.85 s after SIGTERM and was away for 2.7 s more, though set-ups in transit still came to it (two were cut off at its end, 0.89 s behind SIGTERM).

Now: a call for the own exchange goes over a tandem, one in transit is turned back; SIGTERM is served until nothing waits or stands, at the latest 0.4 s before SIGKILL nothing is taken, then all is answered, and callers and far ends are let go together; nothing is closed to make room that has a call; a closed connection handles nothing more. The loop can no longer wait for itself when it closes a connection with its queue full (PostEnd).

--- a/controller.go
+++ b/controller.go
@@ -182,6 +182,7 @@
 	ownWait         float64       // what of the time to an answer is wait at the own processor, seconds
 	round           [3]float64    // the share of set-ups over tandems that stood lately, by kind: see wayTo
 	target          float64       // the wait that is pressure, seconds
+	others          float64       // how long news of a tandem count: less where there are few, for it is all there is
 	beat, span      time.Duration // T and the time constant of rates, as fast as the calls here are: see New
 	acts            []Action
 }
@@ -200,7 +201,7 @@
 	}
 	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x5707e)), ids: map[uint32]int{},
 		own: &exchange{name: "own exchange", place: s.Home, via: -1, free: math.Inf(1),
-			reached: map[int]bool{}},
+			reached: map[int]bool{}, blocked: map[int]time.Duration{}},
 		zones: map[int]*exchange{}, calls: map[uint32]*call{}, numbers: map[uint64]*number{},
 		round: [3]float64{1, 1, 1}, pass: 1,
 		offered: make([]float64, len(s.Classes)), served: make([]float64, len(s.Classes))}
@@ -224,6 +225,7 @@
 		c.target = min(c.target, s.Resend.Seconds()/2)
 	}
 	c.own.least = c.target
+	c.others = min(max(2*float64(s.Replicas-2), 1), 8)
 	// Danger: where aims are a fraction of a second and calls last about one, a T that changes each half
 	// second opens when the jam has passed and lifts long after it. T follows the aim and the rates the
 	// calls' length, up to the figures above.
@@ -416,7 +418,8 @@
 		margin := min(d.wait, c.set.Classes[o.Class].Aim.Seconds()/2)
 		k.until = max(k.until-time.Duration(margin*float64(time.Second)), c.now)
 	}
-	if d == nil || !d.ready || d == c.own || !c.numberOf(o.Number).gap.allows(c.now) {
+	if d == nil || !d.ready || d == c.own && o.Opts&OptTransit != 0 ||
+		!c.numberOf(o.Number).gap.allows(c.now) {
 		c.finish(k) // refused at source; a number repeatedly busy is not waited for
 		return
 	}
@@ -541,7 +544,7 @@
 	if transit {
 		need += c.reserve(d)
 	}
-	if d.free >= need || d.size < 0 {
+	if d != c.own && (d.free >= need || d.size < 0) {
 		// A district that does not answer has trial calls of its own, to any exchange that is not cold.
 		if d.claimed == c.pass || !d.zone.gap.allows(c.now) ||
 			(!d.zone.silent || d.gap.floor > 0) && !d.gap.allows(c.now) {
@@ -620,8 +623,10 @@
 	c.own.gap.spend()
 	c.numberOf(k.Number).gap.spend()
 	if t != d {
-		d.gap.spend()
-		d.sent.add(c.now, c.span, 1)
+		if d != c.own {
+			d.gap.spend()
+			d.sent.add(c.now, c.span, 1)
+		}
 		d.via, d.viaUntil = t.place, c.now+4*c.beat
 		k.tried[t.place] = true
 	}
@@ -747,7 +752,7 @@
 				c.press(x, true)
 				c.failed()
 			} else if d := c.at(k.Dest); note == NoteTurnedBack && d != nil && d != c.own {
-				d.blocked[x.place] = c.now + 8*c.beat
+				d.blocked[x.place] = c.now + time.Duration(c.others*float64(c.beat))
 				c.round[wayTo(k, d, x.place)] *= 15. / 16
 				if d.via == x.place {
 					d.via = -1
@@ -954,8 +959,9 @@
 // tick looks after what only time changes.
 func (c *Controller) tick() {
 	c.ticking = false
+	again := c.span.Seconds() * c.others // to be tried again some time
 	for i := range c.round {
-		c.round[i] += (1 - c.round[i]) * look.Seconds() / c.span.Seconds() / 8 // to be tried again some time
+		c.round[i] += (1 - c.round[i]) * look.Seconds() / again
 	}
 	c.ownPart()
 	for _, x := range c.places {
--- a/controller_test.go
+++ b/controller_test.go
@@ -1258,3 +1258,25 @@
 		t.Errorf("silent %v, gap %v, bad %d after errors and resets", x.silent, x.gap.open, x.bad)
 	}
 }
+
+// Calls for the own exchange come here while another agent is away. No group leads to it, so they go round, and one in
+// transit, which has been round, does not.
+func TestCallsForTheOwnExchange(t *testing.T) {
+	b := start(t, settings())
+	r := b.offer(0)
+	if sw := b.sentTo(r); sw == 0 || sw == 100 {
+		t.Fatalf("sent to %d", sw)
+	}
+	b.stand(r, b.to[r])
+	if x := b.offer(0, func(o *Offer) { o.Opts = OptTransit }); b.final[x] == nil || b.tries[x] != 0 {
+		t.Error("a call in transit to the own exchange is not turned back")
+	}
+	for p := 1; p < 4; p++ {
+		b.free(p, 0)
+	}
+	x := b.offer(0)
+	b.pass(3 * time.Second)
+	if b.tries[x] != 0 || b.final[x] == nil {
+		t.Errorf("%d tries without a tandem, final %v", b.tries[x], b.final[x])
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -121,7 +121,6 @@
 	probes map[uint32]*Timer
 	events []tinbeam.Event // to be told to the module next
 	busy   bool
-	idle   func() // called when the last call that is owed an answer has got it
 	owed   int
 }
 
@@ -239,9 +238,6 @@
 	c.Stop(k.guard)
 	c.owed--
 	c.M.Pending.Set(int64(c.owed))
-	if c.owed == 0 && c.idle != nil {
-		c.Post(c.idle)
-	}
 	return true
 }
 
@@ -259,6 +255,10 @@
 	} else {
 		c.M.Refused.Inc()
 	}
+	if e := c.log.Check(zap.DebugLevel, "refused"); e != nil {
+		e.Write(zap.String("call", k.ID), zap.Int("dest", k.Dest), zap.Int("class", k.Class), zap.Float64("width", k.Width),
+			zap.Uint8("marks", k.Opts), zap.Int("tries", k.tries), zap.Duration("after", c.Now()-k.taken), zap.Bool("failed", failed))
+	}
 	k.Caller.Refuse(k, failed, pause)
 	c.see("refused", k)
 }
@@ -484,5 +484,5 @@
 // Owed is how many calls wait for their final answer.
 func (c *Core) Owed() int { return c.owed }
 
-// WhenIdle has fn called whenever the last call that is owed an answer has got it.
-func (c *Core) WhenIdle(fn func()) { c.idle = fn }
+// Held is how many calls wait for their final answer or stand.
+func (c *Core) Held() int { return len(c.calls) }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -186,6 +186,24 @@
 	}
 }
 
+// A full queue must not stop the loop from closing a connection, whose end is posted by the loop itself.
+func TestEndsDoNotWait(t *testing.T) {
+	l := NewLoop(func() time.Duration { return 0 })
+	did := 0
+	for i := 0; i < queueMost; i++ {
+		l.Post(func() { did++ })
+	}
+	l.PostEnd(func() {
+		if did != queueMost {
+			t.Errorf("told after %d of %d events", did, queueMost)
+		}
+		did = -1
+	})
+	if l.Step(); did != -1 {
+		t.Error("the end was not told")
+	}
+}
+
 func TestTimersInOrder(t *testing.T) {
 	now := time.Duration(0)
 	l := NewLoop(func() time.Duration { return now })
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"sync"
 	"time"
 )
 
@@ -38,6 +39,9 @@
 	queue  chan func()
 	timers timers
 	seq    uint64
+
+	mu   sync.Mutex
+	ends []func() // what found the queue full and cannot wait for it
 }
 
 // queueMost bounds the queue of events. A callback that finds it full waits, and so its peer does: a flood is
@@ -59,6 +63,30 @@
 // Post queues an event. It is the only method that other goroutines may call.
 func (l *Loop) Post(fn func()) { l.queue <- fn }
 
+// PostEnd queues the end of something that has one end, as a connection. It never waits. Guards against a loop that waits
+// for itself: it may be the loop that closed the connection, with the queue full. What is queued there comes ahead.
+func (l *Loop) PostEnd(fn func()) {
+	select {
+	case l.queue <- fn:
+	default:
+		l.mu.Lock()
+		l.ends = append(l.ends, fn)
+		l.mu.Unlock()
+	}
+}
+
+// late handles the ends that the queue had no room for, once it is empty.
+func (l *Loop) late() bool {
+	l.mu.Lock()
+	ends := l.ends
+	l.ends = nil
+	l.mu.Unlock()
+	for _, fn := range ends {
+		fn()
+	}
+	return len(ends) > 0
+}
+
 // Queued is how many events wait.
 func (l *Loop) Queued() int { return len(l.queue) }
 
@@ -97,6 +125,9 @@
 			continue
 		default:
 		}
+		if l.late() {
+			continue
+		}
 		if len(l.timers) == 0 {
 			return 0, false
 		}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,25 +22,31 @@
 
 const (
 	readyAfter = time.Second            // the agent takes calls at the latest then, whatever it could reach
-	termStay   = 800 * time.Millisecond // what still comes after SIGTERM comes within 0.6 s; it is taken and answered
-	termLast   = 600 * time.Millisecond // from SIGTERM until the last request comes
-	termMost   = 3 * time.Second        // what still has no answer so long after that gets one: SIGKILL comes 0.1 s later
+	termStay   = 800 * time.Millisecond // callers' requests still come for 0.6 s after SIGTERM
+	termMost   = 3 * time.Second        // a deadline beyond this counts as this: SIGKILL comes 0.7 s behind it
+	termLeave  = 300 * time.Millisecond // after the longest deadline nothing more is taken: 0.4 s before SIGKILL
+	termClear  = 550 * time.Millisecond // and what still has no answer gets it
+	termOver   = 570 * time.Millisecond // and the connections close
+	termFlush  = 50 * time.Millisecond  // and the agent ends, its last words with the kernel
+	termLook   = 20 * time.Millisecond
 )
 
 // App is one call agent.
 type App struct {
-	M      *metrics.Set
-	loop   *agent.Loop
-	core   *agent.Core
-	log    *zap.Logger
-	cfg    *config.Config
-	feed   *platform.Feed // set on the loop
-	ln     *link.Listener
-	udp    *mgcp.Socket
-	remote *metrics.Remote
-	once   sync.Once
-	ctx    context.Context
-	end    context.CancelFunc
+	M       *metrics.Set
+	loop    *agent.Loop
+	core    *agent.Core
+	log     *zap.Logger
+	cfg     *config.Config
+	feed    *platform.Feed // set on the loop
+	callers *platform.Callers
+	fars    *platform.Fars // set on the loop
+	ln      *link.Listener
+	udp     *mgcp.Socket
+	remote  *metrics.Remote
+	once    sync.Once
+	ctx     context.Context
+	end     context.CancelFunc
 }
 
 // New opens the sockets and sets all up; nothing is handled before Run.
@@ -58,9 +64,9 @@
 	memory := memoryMB(cfg) << 20
 	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, memory, a.M, log, hook)
 	most := callersMost(cfg.Sockets)
-	callers := platform.NewCallers(a.core, log, cfg.Listen, most*3/4, memory)
+	a.callers = platform.NewCallers(a.core, log, cfg.Listen, most*3/4, memory)
 	var err error
-	if a.ln, err = link.Listen(cfg.Listen, most, unreadMost(memory, most), callers.Accept); err != nil {
+	if a.ln, err = link.Listen(cfg.Listen, most, unreadMost(memory, most), a.callers.Accept); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
 	if op.MGCPListen != "" {
@@ -69,7 +75,7 @@
 			return nil, fmt.Errorf("mgcp: listen on %s: %w", op.MGCPListen, err)
 		}
 	}
-	a.loop.Post(func() { a.begin(cfg, op, callers) })
+	a.loop.Post(func() { a.begin(cfg, op) })
 	return a, nil
 }
 
@@ -94,11 +100,11 @@
 }
 
 // begin runs on the loop: it opens the connections and passes tests once each far end has told of its group.
-func (a *App) begin(cfg *config.Config, op *config.Operator, callers *platform.Callers) {
+func (a *App) begin(cfg *config.Config, op *config.Operator) {
 	waits := 1
 	ready := func() {
 		if waits--; waits == 0 {
-			callers.Ready()
+			a.callers.Ready()
 		}
 	}
 	for _, n := range listed(cfg) {
@@ -108,14 +114,14 @@
 			waits++
 		}
 	}
-	fars := platform.NewFars(a.core, a.log, cfg.ConnectTimeout, ready)
-	a.feed = platform.NewFeed(a.core, fars, a.log, cfg.Changelog, cfg.Seq, cfg.Known)
+	a.fars = platform.NewFars(a.core, a.log, cfg.ConnectTimeout, ready)
+	a.feed = platform.NewFeed(a.core, a.fars, a.log, cfg.Changelog, cfg.Seq, cfg.Known)
 	if a.udp != nil {
 		front := mgcp.New(a.core, a.log, op.MGCP, cfg.Seed, a.udp.Send)
 		go a.udp.Serve(a.loop, a.M, front.Datagram)
 	}
 	ready()
-	a.loop.After(readyAfter, callers.Ready)
+	a.loop.After(readyAfter, a.callers.Ready)
 }
 
 // listed is each far end as the events of the start leave it.
@@ -178,25 +184,35 @@
 	a.loop.Post(func() { a.feed.Move(c.Changelog) })
 }
 
-// Term ends the agent in order: it goes on taking what comes for as long as something may come, answers all that it
-// took, and ends.
+// Term ends the agent in order. It goes on taking what comes, for calls in transit come until the others have noticed; it
+// ends once nothing is left that waits or stands, and in time before SIGKILL, which comes 0.7 s after the longest deadline
+// at the earliest. Ahead of that it takes no more; callers and far ends are let go together, so that no request is taken and no
+// release heard that could not be answered or told.
 func (a *App) Term() {
 	a.once.Do(func() {
 		a.loop.Post(func() {
-			stayed := false
-			leave := func() {
-				if stayed && a.core.Owed() == 0 {
-					a.loop.After(50*time.Millisecond, a.end) // the last answers are on their way to the kernel
-				}
-			}
-			a.core.WhenIdle(leave)
-			a.loop.After(termStay, func() { stayed = true; leave() })
-			// Guards against SIGKILL, which comes 0.7 s after the longest deadline at the earliest, 3 s where that is longer.
 			longest := time.Duration(0)
 			for _, k := range a.core.Set.Classes {
-				longest = max(longest, k.HardLimit)
+				longest = max(longest, min(k.HardLimit, termMost))
+			}
+			over := func() {
+				a.ln.Shut()
+				a.fars.Close()
+				a.callers.Close()
+				a.loop.After(termFlush, a.end)
+			}
+			var look func()
+			look = func() {
+				if a.core.Held() == 0 && a.callers.Held() == 0 {
+					over()
+					return
+				}
+				a.loop.After(termLook, look)
 			}
-			a.loop.After(termLast+min(longest, termMost), a.core.Clear)
+			a.loop.After(termStay, look)
+			a.loop.After(longest+termLeave, a.callers.Leave)
+			a.loop.After(longest+termClear, a.core.Clear)
+			a.loop.After(longest+termOver, over)
 		})
 	})
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -108,6 +108,7 @@
 // Listener takes connections in.
 type Listener struct {
 	open atomic.Int64
+	most atomic.Int64
 	ln   net.Listener
 	loop netpoll.EventLoop
 	done chan error
@@ -129,6 +130,7 @@
 	}
 	type key struct{}
 	l := &Listener{ln: ln, done: make(chan error, 1)}
+	l.most.Store(int64(most))
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error {
 			c, ok := ctx.Value(key{}).(*Conn)
@@ -143,7 +145,7 @@
 				l.open.Add(-1)
 				return nil
 			})
-			if l.open.Load() > int64(most) {
+			if l.open.Load() > l.most.Load() {
 				_ = np.Close()
 				return context.Background()
 			}
@@ -161,6 +163,9 @@
 // Addr is where it listens.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
+// Shut has every further connection closed as it comes; those that are open stay.
+func (l *Listener) Shut() { l.most.Store(0) }
+
 // Close stops listening and closes what it took in.
 func (l *Listener) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -29,32 +29,33 @@
 	doneMost = 20000
 
 	// What one connection may do. The usual callers stay far below, and none of it depends on who they are.
-	silentMost = 2 * time.Second // from when it came, or a message of it began, until that message is whole
-	openMost   = 256             // set-ups on it without an answer
-	aheadMost  = 256             // messages of it that are read and not handled yet
-	wrongMost  = 16              // requests of it that were refused for what they are
-	youngMost  = 50 * time.Millisecond
+	silentMost = 2 * time.Second        // from when it came, or a message of it began, until that message is whole
+	openMost   = 256                    // set-ups on it without an answer
+	aheadMost  = 256                    // messages of it that are read and not handled yet
+	wrongMost  = 16                     // requests of it that were refused for what they are
+	youngMost  = 300 * time.Millisecond // a connection that has not spoken is left so long before it makes room
 	testLinger = 700 * time.Millisecond // a test that comes before the agent is ready waits for it so long
 )
 
 // Callers is the caller side.
 type Callers struct {
-	core   *agent.Core
-	log    *zap.Logger
-	local  string
-	ready  bool
-	legs   map[string]*callLeg // by Call-ID
-	conns  []*callerConn       // open, the latest to say something last
-	room   int                 // connections beyond which those without a set-up make room
-	held   int                 // bytes of set-ups that are not over
-	most   int                 // bytes of set-ups held, and of messages waiting to be handled
-	ahead  atomic.Int64        // bytes of messages read and not handled yet
-	byes   map[string]*callLeg // releases that no caller has confirmed
-	done   map[string]uint64   // calls that are over and had their final answer, with the connection they came on
-	came   uint64              // connections so far
-	order  []doneCall          // the same, oldest first
-	tests  []func()
-	branch uint64
+	core    *agent.Core
+	log     *zap.Logger
+	local   string
+	ready   bool
+	legs    map[string]*callLeg // by Call-ID
+	conns   []*callerConn       // open, the latest to say something last
+	leaving bool                // the agent is about to end and takes no more calls
+	room    int                 // connections beyond which those without a set-up make room
+	held    int                 // bytes of set-ups that are not over
+	most    int                 // bytes of set-ups held, and of messages waiting to be handled
+	ahead   atomic.Int64        // bytes of messages read and not handled yet
+	byes    map[string]*callLeg // releases that no caller has confirmed
+	done    map[string]uint64   // calls that are over and had their final answer, with the connection they came on
+	came    uint64              // connections so far
+	order   []doneCall          // the same, oldest first
+	tests   []func()
+	branch  uint64
 }
 
 // callLeg is what this front keeps of a call.
@@ -113,6 +114,20 @@
 	}
 }
 
+// Leave takes no more calls: what still comes is refused.
+func (s *Callers) Leave() { s.leaving = true }
+
+// Close closes the connections behind what is still to be written on them.
+func (s *Callers) Close() {
+	for _, c := range slices.Clone(s.conns) {
+		c.link.Finish()
+		c.end()
+	}
+}
+
+// Held is how many calls wait for their final answer, stand, or are over and not yet released by their callers.
+func (s *Callers) Held() int { return len(s.legs) }
+
 // callerConn is one connection; its methods Data and Closed run outside the loop and only post.
 type callerConn struct {
 	side  *Callers
@@ -157,27 +172,38 @@
 }
 
 // evict makes room: it closes the connection that has been quiet longest among those that never said anything, else among
-// those without a set-up, else without a call. Guards the usual callers' place against connections that are only held.
+// those without a call. Guards the usual callers' place against connections that are only held; one with a call that
+// stands is kept, for the call's release is for its caller, who may be heard nowhere else.
 func (s *Callers) evict() {
 	var pick *callerConn
-	best := 3
 	for _, c := range s.conns {
-		rank := 2
-		switch {
-		case c.open > 0 || c.ahead.Load() > 0 || s.core.Now()-c.at < youngMost:
-			continue
-		case !c.said:
-			rank = 0
-		case len(c.legs) == 0:
-			rank = 1
-		}
-		if rank < best {
-			pick, best = c, rank
+		if len(c.legs) == 0 && c.ahead.Load() == 0 && s.core.Now()-c.at >= youngMost && (pick == nil || pick.said && !c.said) {
+			pick = c
 		}
 	}
 	if pick != nil {
 		s.core.M.CallersEvicted.Inc()
 		pick.link.Close()
+		pick.end()
+	}
+}
+
+// end takes a connection for ended; what was open on it is given up. Guards the set-up that crosses a close of ours: read
+// but not handled yet, it would be sent on and its caller never hear of it. With nothing sent on, it comes again.
+func (c *callerConn) end() {
+	s := c.side
+	if e := s.log.Check(zap.DebugLevel, "caller's connection ended"); e != nil && !c.over {
+		e.Write(zap.Uint64("number", c.num), zap.Bool("said", c.said), zap.Int("open", c.open), zap.Int("calls", len(c.legs)),
+			zap.Int32("ahead", c.ahead.Load()), zap.Duration("quiet", s.core.Now()-c.at), zap.Int("wrong", c.wrong))
+	}
+	c.over = true
+	s.conns = slices.DeleteFunc(s.conns, func(o *callerConn) bool { return o == c })
+	s.core.M.CallersIn.Set(int64(len(s.conns)))
+	for _, id := range slices.Sorted(maps.Keys(c.legs)) {
+		if leg := c.legs[id]; leg.open { // a call that stands belongs to no connection
+			s.forget(id)
+			s.core.Abandoned(leg.call)
+		}
 	}
 }
 
@@ -208,6 +234,7 @@
 				}
 				l.Send(m.Answer(status, reason, "").Append(nil), nil)
 			}
+			core.Post(c.end)
 			return used, err
 		}
 		if m == nil {
@@ -237,20 +264,7 @@
 }
 
 // Closed tells that the connection has ended.
-func (c *callerConn) Closed(*link.Conn) { c.side.core.Post(c.lost) }
-
-func (c *callerConn) lost() {
-	s := c.side
-	c.over = true
-	s.conns = slices.DeleteFunc(s.conns, func(o *callerConn) bool { return o == c })
-	s.core.M.CallersIn.Set(int64(len(s.conns)))
-	for _, id := range slices.Sorted(maps.Keys(c.legs)) {
-		if leg := c.legs[id]; leg.open { // a call that stands belongs to no connection
-			s.forget(id)
-			s.core.Abandoned(leg.call)
-		}
-	}
-}
+func (c *callerConn) Closed(*link.Conn) { c.side.core.PostEnd(c.end) }
 
 // touch keeps the connections in the order in which they last said something.
 func (c *callerConn) touch() {
@@ -273,6 +287,7 @@
 	c.send(m.Answer(status, reason, "", more...))
 	if c.wrong++; c.wrong >= wrongMost && c.open == 0 {
 		c.link.Finish()
+		c.end()
 	}
 }
 
@@ -403,6 +418,7 @@
 		s.core.Abandoned(leg.call)
 		c.send(m.Answer(400, "Bad Request", ""))
 		c.link.Finish()
+		c.end()
 		return
 	case leg != nil || done:
 		s.core.M.Repeated.Inc()
@@ -421,7 +437,7 @@
 	for _, h := range head.Headers {
 		leg.size += len(h.Name) + len(h.Value)
 	}
-	if c.open >= openMost || s.held+leg.size > s.most {
+	if s.leaving || c.open >= openMost || s.held+leg.size > s.most {
 		s.core.M.Flooded.Inc()
 		c.send(m.Answer(503, "Service Unavailable", ""))
 		return
@@ -583,11 +599,12 @@
 			s.sendBye(leg)
 		}
 	}
-	for _, c := range s.conns {
+	for _, c := range slices.Clone(s.conns) {
 		// Guards the descriptors against those that open a connection, or begin a message, and say nothing more.
 		if !c.said && s.core.Now()-c.at > silentMost || c.link.Stuck() > silentMost {
 			s.core.M.CallersSilent.Inc()
 			c.link.Close()
+			c.end()
 		}
 	}
 	s.core.M.QueueLength.Set(int64(s.core.Queued()))
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,10 +19,12 @@
 	"tinbeam/internal/sip"
 )
 
-func side() *Callers {
+func side() *Callers { return sideOn(agent.SystemClock(), 100) }
+
+func sideOn(clock func() time.Duration, room int) *Callers {
 	set := tinbeam.Settings{Classes: []tinbeam.Class{{Name: "check", Aim: time.Second, HardLimit: 9 * time.Second}}}
-	core := agent.New(agent.NewLoop(agent.SystemClock()), set, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
-	return NewCallers(core, zap.NewNop(), "here", 100, 64<<20)
+	core := agent.New(agent.NewLoop(clock), set, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
+	return NewCallers(core, zap.NewNop(), "here", room, 64<<20)
 }
 
 func invite(id, kind, left, path, body string) *sip.Message {
@@ -93,3 +97,72 @@
 		t.Errorf("%d events wait, want %d", n, aheadMost+1)
 	}
 }
+
+// Room is made by a connection that nothing is lost with: not by one with a call that stands, whose release must reach its
+// caller, and not by one that has just come, whose set-up may be on its way.
+func TestEvict(t *testing.T) {
+	now := time.Hour
+	s := sideOn(func() time.Duration { return now }, 2)
+	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	came := uint64(0)
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		for came++; s.came < came; time.Sleep(time.Millisecond) {
+			s.core.Step()
+		}
+		return c
+	}
+	dial()
+	stands := s.conns[0]
+	stands.legs["9b1f03aa5c7e2d41"] = &callLeg{conn: stands}
+	quiet := dial()
+	now += youngMost
+	dial()
+	if len(s.conns) != 2 || s.conns[0] != stands || s.core.M.CallersEvicted.Value() != 1 {
+		t.Errorf("%d connections, %d closed", len(s.conns), s.core.M.CallersEvicted.Value())
+	}
+	quiet.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if n, err := quiet.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d, %v from the one that made room", n, err)
+	}
+	dial() // nobody can make room for it
+	if len(s.conns) != 3 {
+		t.Errorf("%d connections, want 3", len(s.conns))
+	}
+}
+
+// A set-up that crosses a close of ours is not handled: sent on, its caller would never hear of it.
+func TestSetUpBehindAClose(t *testing.T) {
+	s := side()
+	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for len(s.conns) == 0 {
+		s.core.Step()
+		time.Sleep(time.Millisecond)
+	}
+	s.conns[0].end()
+	c.Write(invite("9b1f03aa5c7e2d41", "check", "1500", "dest:1", "v=0").Append(nil))
+	for s.core.Queued() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.core.Step()
+	if s.core.M.Offered.Value() != 0 || len(s.legs) != 0 {
+		t.Error("it was handled")
+	}
+}
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -38,6 +38,7 @@
 	log     *zap.Logger
 	timeout time.Duration // for a connection to come up
 	byID    map[uint32]*far
+	closed  bool
 	changed func()
 }
 
@@ -99,6 +100,14 @@
 	return f
 }
 
+// Close closes the connections for good. What ends from now on is told to whom opens the next ones.
+func (f *Fars) Close() {
+	f.closed = true
+	for _, id := range slices.Sorted(maps.Keys(f.byID)) {
+		f.byID[id].hangUp()
+	}
+}
+
 // Listed takes an event of the list and hands it on to the core.
 func (f *Fars) Listed(version uint64, kind tinbeam.ListKind, entries []changelog.Entry) {
 	listed := map[uint32]bool{}
@@ -333,7 +342,7 @@
 	if len(f.byID) > farsMany {
 		most = 1
 	}
-	if x.dialing || len(x.conns) >= most || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
+	if f.closed || x.dialing || len(x.conns) >= most || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
 		return
 	}
 	x.dialing = true
@@ -443,7 +452,7 @@
 }
 
 // Closed tells that the connection has ended.
-func (c *farConn) Closed(*link.Conn) { c.far.fars.core.Post(c.lost) }
+func (c *farConn) Closed(*link.Conn) { c.far.fars.core.PostEnd(c.lost) }
 
 // lost: the set-ups that are open on a connection are given up with it; what stands belongs to no connection.
 func (c *farConn) lost() {
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -155,7 +155,7 @@
 
 // Closed tells that the connection has ended.
 func (c *feedConn) Closed(*link.Conn) {
-	c.feed.core.Post(func() {
+	c.feed.core.PostEnd(func() {
 		c.over = true
 		if c.feed.conn == c {
 			c.feed.conn = nil
