--- a/controller.go
+++ b/controller.go
@@ -182,8 +182,8 @@
 	ownWait         float64       // what of the time to an answer is wait at the own processor, seconds
 	round           [3]float64    // the share of set-ups over tandems that stood lately, by kind: see wayTo
 	target          float64       // the wait that is pressure, seconds
-	others          float64       // how long news of a tandem count: less where there are few, for it is all there is
-	beat, span      time.Duration // T and the time constant of rates, as fast as the calls here are: see New
+	others          float64       // how long news of a tandem count, in paces or spans
+	beat, span      time.Duration // T and the time constant of rates: see New
 	acts            []Action
 }
 
