Forget far ends that are gone, a new machine inherits nothing, a reset dial is no refused one

Gone ones are now dropped once no call is out there. - controller.go topology gave a new machine at a place the gap, the failures and the wait of the last one: a suspected one's successor started with single trial calls. - A probe of 500 dials to a listener that resets at once: 410 came up and their end was told, 80 failed as reset, 10 as 'closed by peer', which link.Refused takes for proof that the process is gone, and all calls there are cut. Dial now asks again on that word, up to three times; where nothing listens each try says the same.

Tests: TestGoneFarEndsAreForgotten, TestNewMachineAtAPlace, TestResetIsNotRefused; each fails without its change.

--- a/controller.go
+++ b/controller.go
@@ -343,8 +343,9 @@
 		case x.id == n.Switch && x.ready && n.OnlineSince == x.since:
 		case x.id != n.Switch && x.ready && n.OnlineSince < x.since:
 		default:
-			if x.id != n.Switch {
-				x.id, x.out = n.Switch, nil
+			if x.id != n.Switch { // another machine: it inherits nothing of what was learnt of the last
+				delete(c.ids, x.id)
+				x.id, x.out, x.gap, x.bad, x.wait, x.answered = n.Switch, nil, gap{}, 0, 0, 0
 			}
 			was := x.since
 			x.ready, x.since, x.silent, x.least, x.leaf = true, n.OnlineSince, false, c.target, n.Leaf
@@ -352,6 +353,9 @@
 				c.warm(x)
 			}
 		}
+		if n.Mode == Gone && x.id != n.Switch {
+			delete(c.ids, n.Switch)
+		}
 	}
 	if t.Kind != ListDelta {
 		for _, x := range c.places {
--- a/controller_test.go
+++ b/controller_test.go
@@ -1280,3 +1280,19 @@
 		t.Errorf("%d tries without a tandem, final %v", b.tries[x], b.final[x])
 	}
 }
+
+// A new machine at a place inherits nothing of the last one, and the last one's id is forgotten.
+func TestNewMachineAtAPlace(t *testing.T) {
+	b := start(t, settings())
+	b.c.hush(b.c.places[1])
+	for id := uint32(200); id < 300; id++ {
+		b.do(Topology{Kind: ListDelta, Entries: []Entry{{Switch: id, Place: 1, Mode: Ready, Zone: 1}}})
+		b.do(Topology{Kind: ListDelta, Entries: []Entry{{Switch: id - 1, Place: 1, Mode: Gone, Zone: 1}}})
+	}
+	if x := b.c.places[1]; x.silent || x.gap.open || x.id != 299 {
+		t.Errorf("silent %v, gap %v", x.silent, x.gap.open)
+	}
+	if n := len(b.c.ids); n != 4 {
+		t.Errorf("%d ids are kept of 4 machines", n)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -413,6 +413,7 @@
 // Listed brings an event of the list of one far side. To the module all sides are one list, so a whole list of one
 // side is completed with what the others have.
 func (c *Core) Listed(version uint64, kind tinbeam.ListKind, entries []tinbeam.Entry, far Far) {
+	c.purge()
 	listed := map[uint32]bool{}
 	for _, e := range entries {
 		listed[e.Switch] = true
@@ -432,6 +433,21 @@
 	c.tell(tinbeam.Topology{Version: version, Kind: kind, Entries: entries})
 }
 
+// purge forgets the far ends that were gone before: their ids do not come again, and on a long day there are ever more.
+func (c *Core) purge() {
+	used := map[uint32]bool{}
+	for _, k := range c.calls {
+		if k.out != nil {
+			used[k.out.Switch] = true
+		}
+	}
+	for id, p := range c.places {
+		if p.entry.Mode == tinbeam.Gone && !used[id] {
+			delete(c.places, id)
+		}
+	}
+}
+
 // Mode is the state of a far end in the list.
 func (c *Core) Mode(id uint32) tinbeam.Mode {
 	if p := c.places[id]; p != nil {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -156,6 +156,20 @@
 	b.expect(t, "set up a")
 }
 
+// Far ends come and go all day under ever new ids: what is gone is forgotten, but not while a call is out there.
+func TestGoneFarEndsAreForgotten(t *testing.T) {
+	b := newBench(nil)
+	b.offer("a", 5*time.Second)
+	for id := uint32(8); id < 100; id++ {
+		b.Listed(uint64(id), tinbeam.ListDelta, []tinbeam.Entry{{Switch: id - 1, Place: 1, Mode: tinbeam.Gone},
+			{Switch: id, Place: 1, Mode: tinbeam.Ready}}, farBench{b})
+	}
+	if n := len(b.places); n != 3 || b.places[7] == nil { // the last, the one before, and where the call is out
+		t.Errorf("%d far ends are kept", n)
+	}
+	b.Ended(b.sent[0], tinbeam.Full, 0, nil, 34)
+}
+
 type no struct{ seen []string }
 
 func (n *no) Refuse(k *Call) bool        { return k.ID == "a" }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -85,6 +85,11 @@
 // Dial opens a connection, or gives up after the timeout. It blocks: never call it on the core's goroutine.
 func Dial(addr string, timeout time.Duration, ev Events) (*Conn, error) {
 	np, err := netpoll.DialConnection("tcp", addr, timeout)
+	for again := 0; errors.Is(err, netpoll.ErrConnClosed) && again < 3; again++ {
+		// Guards the calls that stand where a connection was reset as it came up: netpoll tells that in the word it has
+		// for a refused one, one time in fifty. Where nothing listens every try is refused.
+		np, err = netpoll.DialConnection("tcp", addr, timeout)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -50,6 +50,33 @@
 	}
 }
 
+// A connection that is reset as it comes up is no refused one, and its end is told however early it came.
+func TestResetIsNotRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	for i := 0; i < 200; i++ {
+		ev := quiet{make(chan struct{})}
+		if _, err := Dial(ln.Addr().String(), 10*time.Second, ev); err == nil {
+			<-ev.closed
+		} else if Refused(err) {
+			t.Fatalf("try %d: %v is told as refused", i, err)
+		}
+	}
+}
+
 // What is withdrawn before it is written never leaves; what is behind it does, and the end is told once.
 func TestWithdraw(t *testing.T) {
 	c, peer, ev := pair(t)
