--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 	AttemptsReset, AttemptsUnreached, AttemptsTakenBack     *Counter
 	Probes, Reports                                         *Counter
 	LinksUp, LinksLost, DialsFailed, SilentLinks            *Counter
+	StuckLinks                                              *Counter
 	ListEvents, ListGaps, ListReconnects                    *Counter
 	Reloads, ReloadsFailed                                  *Counter
 	Malformed, Stray, Repeated                              *Counter
@@ -80,6 +81,7 @@
 	add(&s.LinksLost, "links_lost_total", "connections to far ends that ended")
 	add(&s.DialsFailed, "dials_failed_total", "connections to far ends that did not come up")
 	add(&s.SilentLinks, "links_silent_total", "connections closed because nothing was heard on them")
+	add(&s.StuckLinks, "links_stuck_total", "connections closed because they stayed open and were of no more use")
 	add(&s.ListEvents, "list_events_total", "events of the change log applied")
 	add(&s.ListGaps, "list_gaps_total", "events of the change log that were missed or came twice")
 	add(&s.ListReconnects, "list_reconnects_total", "connections opened to the change log")
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -27,6 +27,23 @@
 	return NewCallers(core, zap.NewNop(), "here", room, 64<<20)
 }
 
+// dialer opens the side to callers, and gives what connects one.
+func dialer(t *testing.T, s *Callers) func() net.Conn {
+	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+}
+
 func invite(id, kind, left, path, body string) *sip.Message {
 	return &sip.Message{Method: "INVITE", URI: "sip:7f3a9c21e0b4d655@net", Body: body, Headers: []sip.Header{
 		{Name: "Call-ID", Value: id}, {Name: "P-Kind", Value: kind}, {Name: "P-Time-Left", Value: left},
@@ -66,16 +83,7 @@
 // Guards the queue: with nothing handled, what is beyond the bound of a connection is refused at the door.
 func TestFlood(t *testing.T) {
 	s := side()
-	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	c, err := net.Dial("tcp", l.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dialer(t, s)()
 	const beyond = 40
 	var b []byte
 	for i := 0; i < aheadMost+beyond; i++ {
@@ -103,18 +111,10 @@
 func TestEvict(t *testing.T) {
 	now := time.Hour
 	s := sideOn(func() time.Duration { return now }, 2)
-	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	connect := dialer(t, s)
 	came := uint64(0)
 	dial := func() net.Conn {
-		c, err := net.Dial("tcp", l.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
+		c := connect()
 		for came++; s.came < came; time.Sleep(time.Millisecond) {
 			s.core.Step()
 		}
@@ -142,16 +142,7 @@
 // A set-up that crosses a close of ours is not handled: sent on, its caller would never hear of it.
 func TestSetUpBehindAClose(t *testing.T) {
 	s := side()
-	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	c, err := net.Dial("tcp", l.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dialer(t, s)()
 	for len(s.conns) == 0 {
 		s.core.Step()
 		time.Sleep(time.Millisecond)
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -567,7 +567,7 @@
 	core := x.fars.core
 	for _, c := range slices.Clone(x.conns) {
 		if c.stuck(core.Now()) {
-			core.M.SilentLinks.Inc()
+			core.M.StuckLinks.Inc()
 			c.link.Close()
 		}
 	}
