Close a listener's descriptor once: netpoll closed it twice, and another's with it

At fault: netpoll 0.7 net_listener.go, listener.Close: syscall.Close(ln.fd), then ln.file.Close() on the same number. In between the number may be another socket's. In service that is the end of the program; in the tests it is any of them. Ruled out: connections, whose netFD.Close counts its calls.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -135,6 +135,12 @@
 		return nil, err
 	}
 	type key struct{}
+	np, err := netpoll.ConvertListener(ln)
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	ln = &closedOnce{np, ln}
 	l := &Listener{ln: ln, done: make(chan error, 1)}
 	l.most.Store(int64(most))
 	loop, err := netpoll.NewEventLoop(
@@ -166,6 +172,19 @@
 	return l, nil
 }
 
+// closedOnce guards other descriptors of the process: netpoll 0.7 closes a listener's twice by number, and what has been
+// opened in between under that number is closed with it. Here the socket is shut, and the file that netpoll holds of it closes it
+// once, when it is collected.
+type closedOnce struct {
+	netpoll.Listener
+	plain net.Listener
+}
+
+func (l *closedOnce) Close() error {
+	_ = syscall.Shutdown(l.Fd(), syscall.SHUT_RDWR)
+	return l.plain.Close()
+}
+
 // Addr is where it listens.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -98,6 +100,53 @@
 	}
 }
 
+// Guards other descriptors of the process against a listener that closes its own twice.
+func TestListenerClosesItsDescriptorOnce(t *testing.T) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			r, w, err := os.Pipe()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, err = w.Write([]byte("x"))
+			if e := errors.Join(err, r.Close(), w.Close()); e != nil {
+				t.Error(e)
+				return
+			}
+		}
+	}()
+	for i := 0; i < 300; i++ {
+		l, err := Listen("127.0.0.1:0", 1, maxQueued, func(*Conn) Events { return quiet{make(chan struct{})} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := l.Addr()
+		first, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for l.open.Load() != 1 { // it serves
+			time.Sleep(time.Millisecond)
+		}
+		l.Close()
+		first.Close()
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			t.Fatal("a closed listener still listens")
+		}
+	}
+	close(stop)
+	<-done
+}
+
 // Guards the descriptors: more connections than allowed are closed at once, and the others go on.
 func TestConnectionsBounded(t *testing.T) {
 	l, err := Listen("127.0.0.1:0", 1, maxQueued, func(*Conn) Events { return quiet{make(chan struct{})} })
