Management address, figures, drain, and the callers' socket that the platform passes on

Not taken: an accept goroutine of our own with NewFDConnection, whose connections have no remote address, which netpoll's time-outs dereference.

There was no management address; package manage is net/http, bounded in connections, off the loop, so that it answers under load. Figures by class are counters of metrics.Set; forwards are counted where a launch is handed to the kernel (link.Ticket).

--- a/controller.go
+++ b/controller.go
@@ -709,6 +709,17 @@
 	return took-c.ownWait-x.least > c.most(x.least-c.own.least)
 }
 
+// Avoided is how many listed exchanges get trial calls only, since they do not answer.
+func (c *Controller) Avoided() int {
+	n := 0
+	for _, x := range c.places {
+		if x != nil && x != c.own && x.ready && (x.silent || x.zone.silent) {
+			n++
+		}
+	}
+	return n
+}
+
 // hear notes that an exchange has answered.
 func (c *Controller) hear(x *exchange) {
 	x.heard, x.bad = c.now, 0
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 // Figures that are not policy: how the program keeps what the module has decided.
 const (
 	answerMargin = 15 * time.Millisecond  // a final answer leaves this much ahead of the caller's deadline
+	countEvery   = 200 * time.Millisecond // how often the gauges of the far ends are renewed
 	probeTimeout = 500 * time.Millisecond // a test without an answer has failed
 	callBytes    = 8 << 10                // what a call may cost in memory, all its parts; half of that limit is for calls
 )
@@ -132,10 +133,35 @@
 
 // New makes a core that knows no far end. The calls it holds at once are bounded by the limit on memory, in bytes.
 func New(loop *Loop, set tinbeam.Settings, seed uint64, memory int, m *metrics.Set, log *zap.Logger, hook Hook) *Core {
-	return &Core{Loop: loop, Set: set, most: memory / 2 / callBytes, M: m, log: log, hook: hook, ctl: tinbeam.New(set, seed),
+	c := &Core{Loop: loop, Set: set, most: memory / 2 / callBytes, M: m, log: log, hook: hook, ctl: tinbeam.New(set, seed),
 		calls: map[uint32]*Call{}, places: map[uint32]*place{}, probes: map[uint32]*Timer{}}
+	for _, k := range set.Classes {
+		m.Class(k.Name) // shown from the first on, at zero
+	}
+	var count func()
+	count = func() {
+		c.count()
+		loop.After(countEvery, count)
+	}
+	loop.After(0, count)
+	return c
 }
 
+// count renews the gauges of the far ends.
+func (c *Core) count() {
+	listed := 0
+	for _, p := range c.places {
+		if p.entry.Mode != tinbeam.Gone {
+			listed++
+		}
+	}
+	c.M.Listed.Set(int64(listed))
+	c.guarded(c.ctl, func() { c.M.Avoided.Set(int64(c.ctl.Avoided())) })
+}
+
+// class is the counters of a call's class.
+func (c *Core) class(k *Call) *metrics.Class { return c.M.Class(c.Set.Classes[k.Class].Name) }
+
 // tell tells the module events, the oldest first, and does what it asks for. What happens meanwhile waits its turn.
 func (c *Core) tell(ev ...tinbeam.Event) {
 	c.events = append(c.events, ev...)
@@ -154,18 +180,27 @@
 	c.events = nil
 }
 
-// decide guards against a fault of the module: it is counted and told, and the calls it concerned get their answer at
-// their deadline.
+// decide asks the module what is to be done.
 func (c *Core) decide(e tinbeam.Event) (acts []tinbeam.Action) {
+	if !c.guarded(e, func() { acts = c.ctl.Handle(c.Now(), e, nil) }) {
+		acts = []tinbeam.Action{tinbeam.Schedule{After: 20 * time.Millisecond, Handle: 1}}
+	}
+	return acts
+}
+
+// guarded guards against a fault of the module: it is counted and told, and the calls it concerns get their answer at
+// their deadline. It tells whether there was none.
+func (c *Core) guarded(what any, fn func()) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			c.M.Panics.Inc()
-			c.log.Error("decision failed", zap.Any("panic", p), zap.String("event", fmt.Sprintf("%T", e)),
+			c.log.Error("decision failed", zap.Any("panic", p), zap.String("event", fmt.Sprintf("%T", what)),
 				zap.ByteString("stack", debug.Stack()))
-			acts = []tinbeam.Action{tinbeam.Schedule{After: 20 * time.Millisecond, Handle: 1}}
+			ok = false
 		}
 	}()
-	return c.ctl.Handle(c.Now(), e, nil)
+	fn()
+	return true
 }
 
 func (c *Core) act(a tinbeam.Action) {
@@ -252,8 +287,9 @@
 	delete(c.calls, k.ref)
 	if failed {
 		c.M.Failed.Inc()
+		c.class(k).Failed.Inc()
 	} else {
-		c.M.Refused.Inc()
+		c.Refused(k)
 	}
 	if e := c.log.Check(zap.DebugLevel, "refused"); e != nil {
 		e.Write(zap.String("call", k.ID), zap.Int("dest", k.Dest), zap.Int("class", k.Class), zap.Float64("width", k.Width),
@@ -263,6 +299,12 @@
 	c.see("refused", k)
 }
 
+// Refused counts a call that was refused; one that is refused at the door never was offered.
+func (c *Core) Refused(k *Call) {
+	c.M.Refused.Inc()
+	c.class(k).Refused.Inc()
+}
+
 func (c *Core) see(name string, k *Call) {
 	if c.hook != nil {
 		c.hook.Event(name, k)
@@ -326,6 +368,7 @@
 	}
 	k.standing = true
 	c.M.Answered.Inc()
+	c.class(k).Answered.Inc()
 	c.M.Standing.Add(1)
 	k.Caller.Answer(k, description)
 	c.tell(tinbeam.Flowing{Ref: k.ref, Try: at.try, Switch: at.Switch, Took: c.Now() - at.SentAt})
@@ -345,7 +388,7 @@
 		c.over(k)
 		k.Caller.Release(k, cause)
 	} else {
-		c.count(code)
+		c.ending(code)
 	}
 	if code == tinbeam.TimedOut || code == tinbeam.Reset || code == tinbeam.Cancelled {
 		k.notBefore = c.Now() + c.Set.ReleaseWait
@@ -354,7 +397,7 @@
 		Switch: at.Switch, Code: code, Report: report})
 }
 
-func (c *Core) count(code tinbeam.Code) {
+func (c *Core) ending(code tinbeam.Code) {
 	switch code {
 	case tinbeam.Full, tinbeam.Moot:
 		c.M.AttemptsFull.Inc()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"tinbeam/internal/agent"
 	"tinbeam/internal/config"
 	"tinbeam/internal/link"
+	"tinbeam/internal/manage"
 	"tinbeam/internal/metrics"
 	"tinbeam/internal/mgcp"
 	"tinbeam/internal/platform"
@@ -24,6 +26,7 @@
 	readyAfter = time.Second            // the agent takes calls at the latest then, whatever it could reach
 	termStay   = 800 * time.Millisecond // callers' requests still come for 0.6 s after SIGTERM
 	termMost   = 3 * time.Second        // a deadline beyond this counts as this: SIGKILL comes 0.7 s behind it
+	handMost   = 5 * time.Second        // the same where another process holds the callers' socket too and goes on
 	termLeave  = 300 * time.Millisecond // after the longest deadline nothing more is taken: 0.4 s before SIGKILL
 	termClear  = 550 * time.Millisecond // and what still has no answer gets it
 	termOver   = 570 * time.Millisecond // and the connections close
@@ -43,8 +46,12 @@
 	fars    *platform.Fars // set on the loop
 	ln      *link.Listener
 	udp     *mgcp.Socket
+	door    *manage.Server
+	taking  atomic.Bool // it is ready, and not about to end
+	away    atomic.Bool // operators have had callers sent away
 	remote  *metrics.Remote
-	once    sync.Once
+	ending  bool // on the loop
+	once    struct{ ready, term sync.Once }
 	ctx     context.Context
 	end     context.CancelFunc
 }
@@ -66,12 +73,24 @@
 	most := callersMost(cfg.Sockets)
 	a.callers = platform.NewCallers(a.core, log, cfg.Listen, most*3/4, memory)
 	var err error
-	if a.ln, err = link.Listen(cfg.Listen, most, unreadMost(memory, most), a.callers.Accept); err != nil {
+	if cfg.Passed > 0 {
+		a.ln, err = link.Inherit(cfg.Passed, most, unreadMost(memory, most), a.callers.Accept)
+	} else {
+		a.ln, err = link.Listen(cfg.Listen, most, unreadMost(memory, most), a.callers.Accept)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
+	if cfg.Management != "" {
+		if a.door, err = manage.Listen(cfg.Management, operatorsMost(cfg.Sockets), a, log); err != nil {
+			a.ln.Close()
+			return nil, fmt.Errorf("management: listen on %s: %w", cfg.Management, err)
+		}
+	}
 	if op.MGCPListen != "" {
 		if a.udp, err = mgcp.Listen(op.MGCPListen); err != nil {
 			a.ln.Close()
+			a.closeDoor()
 			return nil, fmt.Errorf("mgcp: listen on %s: %w", op.MGCPListen, err)
 		}
 	}
@@ -88,6 +107,9 @@
 	return max(sockets*2/3, 16)
 }
 
+// operatorsMost is how many connections operators may hold.
+func operatorsMost(sockets int) int { return min(max(sockets/16, 8), 64) }
+
 // unreadMost is how many bytes may wait for a caller that does not read: all of them together a quarter of the memory.
 func unreadMost(memory, callers int) int { return min(max(memory/4/callers, 16<<10), 256<<10) }
 
@@ -104,7 +126,7 @@
 	waits := 1
 	ready := func() {
 		if waits--; waits == 0 {
-			a.callers.Ready()
+			a.ready()
 		}
 	}
 	for _, n := range listed(cfg) {
@@ -121,7 +143,64 @@
 		go a.udp.Serve(a.loop, a.M, front.Datagram)
 	}
 	ready()
-	a.loop.After(readyAfter, a.callers.Ready)
+	a.loop.After(readyAfter, a.ready)
+	if !a.ln.Passed() {
+		a.ln.Serve() // a test that comes early waits for the agent; on a passed socket others may answer it
+	}
+}
+
+// ready takes callers.
+func (a *App) ready() {
+	a.callers.Ready()
+	a.ln.Serve()
+	a.once.ready.Do(func() { a.taking.Store(true) })
+}
+
+// Taking tells whether callers are taken.
+func (a *App) Taking() bool { return a.taking.Load() && !a.away.Load() }
+
+// Drain sends callers away, or takes them again.
+func (a *App) Drain(on bool) {
+	if a.away.Swap(on) == on {
+		return
+	}
+	if on {
+		a.M.Drains.Inc()
+	}
+	a.log.Info("drain", zap.Bool("callers are sent away", on))
+	a.loop.PostEnd(func() { a.callers.Away(a.away.Load() || a.ending) })
+}
+
+// figures is what operators are shown, under their names.
+type figures struct {
+	Succeeded   map[string]int64 `json:"succeeded"`
+	Declined    map[string]int64 `json:"declined"`
+	Aborted     map[string]int64 `json:"aborted"`
+	Forwards    int64            `json:"forwards"`
+	Outstanding int64            `json:"outstanding"`
+	Discovered  int64            `json:"discovered"`
+	Ejected     int64            `json:"ejected"`
+	Applied     int64            `json:"sighup_applied"`
+	Rejected    int64            `json:"sighup_rejected"`
+}
+
+// Figures is the present ones.
+func (a *App) Figures() any {
+	m := a.M
+	f := figures{Succeeded: map[string]int64{}, Declined: map[string]int64{}, Aborted: map[string]int64{},
+		Forwards: m.Launches.Value(), Outstanding: m.Pending.Value(), Discovered: m.Listed.Value(),
+		Ejected: m.Avoided.Value(), Applied: m.Reloads.Value(), Rejected: m.ReloadsFailed.Value()}
+	for _, name := range m.Classes() {
+		c := m.Class(name)
+		f.Succeeded[name], f.Declined[name], f.Aborted[name] = c.Answered.Value(), c.Refused.Value(), c.Failed.Value()
+	}
+	return f
+}
+
+func (a *App) closeDoor() {
+	if a.door != nil {
+		a.door.Close()
+	}
 }
 
 // listed is each far end as the events of the start leave it.
@@ -158,6 +237,7 @@
 	}
 	a.loop.Run(a.ctx)
 	a.ln.Close()
+	a.closeDoor()
 	if a.udp != nil {
 		a.udp.Close()
 	}
@@ -189,11 +269,21 @@
 // at the earliest. Ahead of that it takes no more; callers and far ends are let go together, so that no request is taken and no
 // release heard that could not be answered or told.
 func (a *App) Term() {
-	a.once.Do(func() {
+	a.once.term.Do(func() {
+		a.once.ready.Do(func() {}) // whatever comes
+		a.taking.Store(false)
 		a.loop.Post(func() {
-			longest := time.Duration(0)
+			a.ending = true
+			longest, most := time.Duration(0), termMost
+			if a.ln.Passed() {
+				// Guards what comes from now on: it is for the process that holds the socket next. Who is connected already is
+				// served, and sent there as soon as it waits for nothing.
+				a.ln.Leave()
+				a.callers.Away(true)
+				most = handMost
+			}
 			for _, k := range a.core.Set.Classes {
-				longest = max(longest, min(k.HardLimit, termMost))
+				longest = max(longest, min(k.HardLimit, most))
 			}
 			over := func() {
 				a.ln.Shut()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,8 @@
 // Config is the platform's configuration, checked.
 type Config struct {
 	Name, Listen, Changelog string
+	Management              string // where operators call; "": nowhere
+	Passed                  int    // the descriptor of the callers' socket, where the platform holds it; 0: it is opened here
 	Seed                    uint64
 	MemoryMB, Sockets       int
 	Settings                tinbeam.Settings
@@ -32,11 +34,12 @@
 }
 
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Seed      string `json:"seed"`
-	Changelog string `json:"changelog"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Seed       string `json:"seed"`
+	Changelog  string `json:"changelog"`
+	Management string `json:"management"`
+	Limits     struct {
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
@@ -63,7 +66,7 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Changelog: f.Changelog,
+	c := &Config{Name: f.Name, Listen: f.Listen, Changelog: f.Changelog, Management: f.Management,
 		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	if v := os.Getenv("BALANCER_NAME"); v != "" {
 		c.Name = v
@@ -77,6 +80,19 @@
 	if _, err := netip.ParseAddrPort(c.Changelog); err != nil && c.Changelog != "" {
 		return nil, fmt.Errorf("changelog: %q is no address with a port", c.Changelog)
 	}
+	if v := os.Getenv("BALANCER_MANAGEMENT"); v != "" {
+		c.Management = v
+	}
+	if _, err := netip.ParseAddrPort(c.Management); err != nil && c.Management != "" {
+		return nil, fmt.Errorf("management: %q is no address with a port", c.Management)
+	}
+	if v := os.Getenv("BALANCER_PASSED_SOCKET"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 3 {
+			return nil, fmt.Errorf("BALANCER_PASSED_SOCKET is %q, not the number of a descriptor", v)
+		}
+		c.Passed = n
+	}
 	if n, err := strconv.ParseUint(f.Seed, 16, 64); err == nil {
 		c.Seed = n
 	} else {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,8 +26,11 @@
 	writeTimeout = 3 * time.Second // a peer that reads nothing for so long is gone
 )
 
-// Ticket lets a message be taken back as long as it has not been handed to the kernel.
-type Ticket struct{ state atomic.Int32 }
+// Ticket lets a message be taken back as long as it has not been handed to the kernel. Count, where there is one, counts it then.
+type Ticket struct {
+	Count interface{ Inc() }
+	state atomic.Int32
+}
 
 const (
 	waiting int32 = iota
@@ -113,35 +118,65 @@
 
 // Listener takes connections in.
 type Listener struct {
-	open atomic.Int64
-	most atomic.Int64
-	ln   net.Listener
-	loop netpoll.EventLoop
-	done chan error
+	open   atomic.Int64
+	most   atomic.Int64
+	door   *door
+	loop   netpoll.EventLoop
+	serve  sync.Once
+	passed bool
 }
 
 // Listen opens addr; accept gives each new connection its events. More connections than most are closed at once: the
 // descriptors that are left belong to the far ends. On each at most queued bytes wait for a peer that does not read.
+// Nothing is taken in before Serve.
 func Listen(addr string, most, queued int, accept func(*Conn) Events) (*Listener, error) {
-	// Guards the memory: netpoll reads whatever the kernel has, whether or not it is handled, in ever larger blocks.
-	// What the kernel has is bounded here, for all connections taken in.
-	narrow := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxKernel)
-		})
-	}}
-	ln, err := narrow.Listen(context.Background(), "tcp", addr)
+	conf := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return narrow(raw) }}
+	ln, err := conf.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	return listener(ln, false, most, queued, accept)
+}
+
+// Inherit is Listen on a socket that listens already and was passed to this process as a descriptor. Other processes hold
+// it too, so it is never shut down here: what this one does not take in is theirs.
+func Inherit(fd, most, queued int, accept func(*Conn) Events) (*Listener, error) {
+	f := os.NewFile(uintptr(fd), "passed socket")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, os.ErrInvalid)
+	}
+	ln, err := net.FileListener(f)
+	f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		ln.Close()
+		return nil, fmt.Errorf("descriptor %d does not listen for TCP", fd)
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = narrow(raw)
+	}
+	return listener(ln, true, most, queued, accept)
+}
+
+// narrow guards the memory: netpoll reads whatever the kernel has, whether or not it is handled, in ever larger blocks.
+// What the kernel has is bounded here, for all connections taken in.
+func narrow(raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxKernel)
+	})
+}
+
+func listener(ln net.Listener, passed bool, most, queued int, accept func(*Conn) Events) (*Listener, error) {
 	type key struct{}
 	np, err := netpoll.ConvertListener(ln)
 	if err != nil {
 		ln.Close()
 		return nil, err
 	}
-	ln = &closedOnce{np, ln}
-	l := &Listener{ln: ln, done: make(chan error, 1)}
+	l := &Listener{door: &door{Listener: np, plain: ln, passed: passed}, passed: passed}
 	l.most.Store(int64(most))
 	loop, err := netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error {
@@ -168,34 +203,61 @@
 		return nil, err
 	}
 	l.loop = loop
-	go func() { l.done <- loop.Serve(ln) }()
 	return l, nil
 }
 
-// closedOnce guards other descriptors of the process: netpoll 0.7 closes a listener's twice by number, and what has been
-// opened in between under that number is closed with it. Here the socket is shut, and the file that netpoll holds of it closes it
-// once, when it is collected.
-type closedOnce struct {
+// Serve begins to take connections in.
+func (l *Listener) Serve() {
+	l.serve.Do(func() { go func() { _ = l.loop.Serve(l.door) }() })
+}
+
+// door is a listener that can be left: what netpoll is told of as closed it takes off its poller, and what it has taken in
+// stays open.
+type door struct {
 	netpoll.Listener
-	plain net.Listener
+	plain  net.Listener
+	passed bool
+	left   atomic.Bool
 }
 
-func (l *closedOnce) Close() error {
-	_ = syscall.Shutdown(l.Fd(), syscall.SHUT_RDWR)
-	return l.plain.Close()
+// Accept guards a passed socket's other holders: what comes to one that is left waits for them.
+func (d *door) Accept() (net.Conn, error) {
+	if d.left.Load() {
+		return nil, net.ErrClosed
+	}
+	return d.Listener.Accept()
+}
+
+// Close guards other descriptors of the process: netpoll 0.7 closes a listener's twice by number, and what has been opened in
+// between under that number is closed with it. Here the socket is shut, unless others hold it, and the file that netpoll
+// holds of it closes it once, when it is collected.
+func (d *door) Close() error {
+	if !d.passed {
+		_ = syscall.Shutdown(d.Fd(), syscall.SHUT_RDWR)
+	}
+	return d.plain.Close()
 }
 
 // Addr is where it listens.
-func (l *Listener) Addr() string { return l.ln.Addr().String() }
+func (l *Listener) Addr() string { return l.door.Addr().String() }
+
+// Passed tells whether the socket is held by other processes too.
+func (l *Listener) Passed() bool { return l.passed }
+
+// Leave takes nothing more from a passed socket, which is for its other holders; those that are open stay.
+func (l *Listener) Leave() { l.door.left.Store(true) }
 
 // Shut has every further connection closed as it comes; those that are open stay.
 func (l *Listener) Shut() { l.most.Store(0) }
 
 // Close stops listening and closes what it took in.
 func (l *Listener) Close() {
+	l.serve.Do(func() {})
+	l.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_ = l.loop.Shutdown(ctx)
+	_ = l.door.Close()
 }
 
 func (c *Conn) onRequest(_ context.Context, np netpoll.Connection) error {
@@ -325,6 +387,9 @@
 			c.queued -= len(m.bytes)
 			if m.ticket == nil || m.ticket.state.CompareAndSwap(waiting, written) {
 				batch = append(batch, m.bytes...)
+				if m.ticket != nil && m.ticket.Count != nil {
+					m.ticket.Count.Inc()
+				}
 			}
 		}
 		c.queue = append(c.queue[:0], c.queue[n:]...)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -128,6 +129,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		l.Serve()
 		addr := l.Addr()
 		first, err := net.Dial("tcp", addr)
 		if err != nil {
@@ -153,6 +155,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.Serve()
 	defer l.Close()
 	first, err := net.Dial("tcp", l.Addr())
 	if err != nil {
@@ -187,3 +190,60 @@
 	}
 	<-ev.closed
 }
+
+// A passed socket belongs to others too: one that leaves takes nothing more from it, keeps what it took in, and closes it for
+// nobody else.
+func TestPassedSocket(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	inherit := func() *Listener {
+		f, err := held.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		fd, err := syscall.Dup(int(f.Fd()))
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := Inherit(fd, 100, maxQueued, func(*Conn) Events { return quiet{make(chan struct{})} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Serve()
+		return l
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", held.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	old := inherit()
+	dial()
+	for old.open.Load() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	old.Leave()
+	next := inherit()
+	defer next.Close()
+	for i := int64(1); i <= 20; i++ {
+		dial()
+		for next.open.Load() != i {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if n := old.open.Load(); n != 1 {
+		t.Errorf("the one that left holds %d connections, want the one it took in", n)
+	}
+	old.Close()
+	dial()
+	for next.open.Load() != 21 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -33,7 +36,8 @@
 	Standing, Pending, QueueLength                          *Counter
 	Attempts, AttemptsFull, AttemptsFailed, AttemptsTimeout *Counter
 	AttemptsReset, AttemptsUnreached, AttemptsTakenBack     *Counter
-	Probes, Reports                                         *Counter
+	Probes, Reports, Launches                               *Counter
+	Listed, Avoided, Drains                                 *Counter
 	LinksUp, LinksLost, DialsFailed, SilentLinks            *Counter
 	StuckLinks                                              *Counter
 	ListEvents, ListGaps, ListReconnects                    *Counter
@@ -45,12 +49,36 @@
 	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts *Counter
 	PushesOK, PushesFailed                                  *Counter
 
-	all []*Counter
+	all     []*Counter
+	mu      sync.Mutex
+	classes map[string]*Class
+}
+
+// Class is the counters of one class of call. There are as many as the settings have named.
+type Class struct{ Answered, Refused, Failed Counter }
+
+// Class is the counters of a class.
+func (s *Set) Class(name string) *Class {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.classes[name]
+	if c == nil {
+		c = &Class{}
+		s.classes[name] = c
+	}
+	return c
+}
+
+// Classes is the names of the classes, sorted.
+func (s *Set) Classes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.classes))
 }
 
 // New makes a set with every counter at zero.
 func New() *Set {
-	s := &Set{}
+	s := &Set{classes: map[string]*Class{}}
 	add := func(p **Counter, name, help string) {
 		*p = &Counter{Name: "tinbeam_" + name, Help: help}
 		s.all = append(s.all, *p)
@@ -75,6 +103,10 @@
 	add(&s.AttemptsReset, "attempts_reset_total", "attempts that broke on their way")
 	add(&s.AttemptsUnreached, "attempts_unreached_total", "attempts for which no connection came up")
 	add(&s.AttemptsTakenBack, "attempts_taken_back_total", "set-ups withdrawn before a byte was written")
+	add(&s.Launches, "launches_total", "set-ups written whole towards a far end")
+	gauge(&s.Listed, "far_ends_listed", "far ends in the list now")
+	gauge(&s.Avoided, "far_ends_avoided", "of them, those that get trial calls only")
+	add(&s.Drains, "drains_total", "times operators had callers sent away")
 	add(&s.Probes, "probes_total", "tests sent to far ends")
 	add(&s.Reports, "reports_total", "load and group reports heard")
 	add(&s.LinksUp, "links_up_total", "connections opened to far ends")
@@ -122,4 +154,13 @@
 		}
 		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n%s %d\n", c.Name, c.Help, c.Name, kind, c.Name, c.Value())
 	}
+	for i, c := range []struct{ name, help string }{{"answered", "calls of a class that stood"},
+		{"refused", "calls of a class that were refused"}, {"failed", "calls of a class that ended as failed"}} {
+		name := "tinbeam_class_" + c.name + "_total"
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s counter\n", name, c.help, name)
+		for _, class := range s.Classes() {
+			k := s.Class(class)
+			fmt.Fprintf(w, "%s{class=%q} %d\n", name, class, [...]*Counter{&k.Answered, &k.Refused, &k.Failed}[i].Value())
+		}
+	}
 }
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -34,6 +34,7 @@
 	aheadMost  = 256                    // messages of it that are read and not handled yet
 	wrongMost  = 16                     // requests of it that were refused for what they are
 	youngMost  = 300 * time.Millisecond // a connection that has not spoken is left so long before it makes room
+	awayAfter  = 100 * time.Millisecond // callers that are sent away keep their connections so long
 	testLinger = 700 * time.Millisecond // a test that comes before the agent is ready waits for it so long
 )
 
@@ -46,6 +47,7 @@
 	legs    map[string]*callLeg // by Call-ID
 	conns   []*callerConn       // open, the latest to say something last
 	leaving bool                // the agent is about to end and takes no more calls
+	away    bool                // callers are sent away: see Away
 	room    int                 // connections beyond which those without a set-up make room
 	held    int                 // bytes of set-ups that are not over
 	most    int                 // bytes of set-ups held, and of messages waiting to be handled
@@ -117,6 +119,32 @@
 // Leave takes no more calls: what still comes is refused.
 func (s *Callers) Leave() { s.leaving = true }
 
+// Away sends callers away, or takes them again. What comes is served, tests are failed, and a connection is closed as soon as
+// no set-up is open on it: right behind an answer where it can be, for then no request crosses the close. A call that stands
+// belongs to no connection; its release goes to whoever connects next.
+func (s *Callers) Away(on bool) {
+	if s.away == on {
+		return
+	}
+	if s.away = on; on {
+		s.core.After(awayAfter, s.dismissAll)
+	}
+}
+
+func (s *Callers) dismissAll() {
+	for _, c := range slices.Clone(s.conns) {
+		c.dismiss()
+	}
+}
+
+// dismiss closes a connection with no set-up open on it while callers are sent away.
+func (c *callerConn) dismiss() {
+	if c.side.away && !c.over && c.open == 0 && c.ahead.Load() == 0 && c.said {
+		c.link.Finish()
+		c.end()
+	}
+}
+
 // Close closes the connections behind what is still to be written on them.
 func (s *Callers) Close() {
 	for _, c := range slices.Clone(s.conns) {
@@ -372,7 +400,7 @@
 			return
 		}
 		answered = true
-		if s.ready {
+		if s.ready && !s.away {
 			c.send(m.Answer(200, "OK", ""))
 		} else {
 			c.send(m.Answer(503, "Service Unavailable", ""))
@@ -439,6 +467,7 @@
 	}
 	if s.leaving || c.open >= openMost || s.held+leg.size > s.most {
 		s.core.M.Flooded.Inc()
+		s.core.Refused(k)
 		c.send(m.Answer(503, "Service Unavailable", ""))
 		return
 	}
@@ -529,6 +558,7 @@
 	leg := k.Leg.(*callLeg)
 	s.settle(leg)
 	leg.conn.send(leg.invite.Answer(200, "OK", description))
+	leg.conn.dismiss()
 }
 
 // Refuse tells the caller that its call does not stand, and when to come back where the settings allow it.
@@ -544,6 +574,7 @@
 		more = append(more, sip.Header{Name: "Retry-After", Value: strconv.Itoa(int(seconds))})
 	}
 	leg.conn.send(leg.invite.Answer(status, reason, "", more...))
+	leg.conn.dismiss()
 }
 
 // Release tells the caller that its call is over. It is sent until confirmed, on whatever connection there is.
@@ -607,5 +638,6 @@
 			c.end()
 		}
 	}
+	s.dismissAll()
 	s.core.M.QueueLength.Set(int64(s.core.Queued()))
 }
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.Serve()
 	t.Cleanup(l.Close)
 	return func() net.Conn {
 		c, err := net.Dial("tcp", l.Addr())
--- a/internal/platform/fars.go
+++ b/internal/platform/fars.go
@@ -228,7 +228,7 @@
 
 // SetUp sends a set-up, or keeps it until a connection is up, no longer than one may take.
 func (f *Fars) SetUp(a *agent.Attempt) {
-	l := &leg{}
+	l := &leg{ticket: link.Ticket{Count: f.core.M.Launches}}
 	a.Leg = l
 	x := f.byID[a.Switch]
 	if x == nil {
