Drain that keeps callers for 3.6 s, SIGHUP takes the settings, a race at a new connection's start

With every caller's connection closed 0.7 s into the drain, their releases found none; the front's testers come each 0.1 s and are gone 0.2 ms later, and sendBye picked them. The drains last 4.55 s; the rule looks at 4 s.

Now the core merges the new classes into its table by name and content, so that an open call's class keeps its number; one changed or dropped is retired, its place used again when no call has it. Not taken: renumbering open calls in core and module, which needs both to agree on every id in flight. config.Reload turns a file down whole (a key missing, deadline or attempts no number above 0).

Race, found by TestSentAway under the race detector: link.attach gave the owner the connection before c.events was set; a close from the loop in between would have met nil.

--- a/cmd/tinbeam/serve.go
+++ b/cmd/tinbeam/serve.go
@@ -102,7 +102,7 @@
 			case syscall.SIGUSR1:
 				a.M.Print(out)
 			case syscall.SIGHUP:
-				a.Reload(func() (*config.Config, error) { return config.Load(o.config) })
+				a.Reload(func(present *config.Config) (*config.Config, error) { return config.Reload(o.config, present) })
 			default:
 				log.Info("ending", zap.String("signal", s.String()))
 				a.Term()
--- a/controller.go
+++ b/controller.go
@@ -145,7 +145,7 @@
 	at, deadline                    time.Duration
 	until                           time.Duration // held no longer than this
 	notBefore                       time.Duration // release wait
-	tries                           int
+	tries, most                     int           // attempts so far, and allowed
 	out, stands, direct, mayHaveRun bool
 	to                              *exchange // where the attempt that is out went
 	sentAt                          time.Duration
@@ -194,27 +194,41 @@
 	if len(s.Classes) == 0 {
 		s.Classes = []Class{{}}
 	}
+	c := &Controller{rng: rand.New(rand.NewPCG(seed, 0x5707e)), ids: map[uint32]int{},
+		own: &exchange{name: "own exchange", place: s.Home, via: -1, free: math.Inf(1),
+			reached: map[int]bool{}, blocked: map[int]time.Duration{}},
+		zones: map[int]*exchange{}, calls: map[uint32]*call{}, numbers: map[uint64]*number{},
+		round: [3]float64{1, 1, 1}, pass: 1}
+	c.apply(s)
+	c.own.least = c.target
+	return c
+}
+
+// apply takes settings, at the start and later. What has been learnt of exchanges and numbers stays.
+func (c *Controller) apply(s Settings) {
 	s.Classes = slices.Clone(s.Classes)
 	s.MostTries, s.Replicas = max(s.MostTries, 1), max(s.Replicas, 2)
 	if !(s.Rules.ColdFrom > 0 && s.Rules.ColdFrom <= 1) {
 		s.Rules.ColdFrom = 0.1
 	}
-	c := &Controller{set: s, rng: rand.New(rand.NewPCG(seed, 0x5707e)), ids: map[uint32]int{},
-		own: &exchange{name: "own exchange", place: s.Home, via: -1, free: math.Inf(1),
-			reached: map[int]bool{}, blocked: map[int]time.Duration{}},
-		zones: map[int]*exchange{}, calls: map[uint32]*call{}, numbers: map[uint64]*number{},
-		round: [3]float64{1, 1, 1}, pass: 1,
-		offered: make([]float64, len(s.Classes)), served: make([]float64, len(s.Classes))}
-	aim := math.Inf(1) // the tightest
+	aim, span, was := math.Inf(1), time.Duration(0), c.set.Classes // the tightest aim, the longest hold
 	for i := range s.Classes {
 		k := &s.Classes[i]
 		k.Width, k.Gain = positive(k.Width, 1), positive(k.Gain, 1)
 		k.MeanHold = time.Duration(positive(float64(k.MeanHold), float64(memory)))
-		if k.Aim > 0 {
+		if k.Aim > 0 && !k.Retired {
 			aim = min(aim, k.Aim.Seconds())
 		}
-		c.offered[i], c.served[i] = 1, 1
+		if !k.Retired {
+			span = max(span, min(k.MeanHold, memory))
+		}
+		if i >= len(was) {
+			c.offered, c.served = append(c.offered, 1), append(c.served, 1)
+		} else if was[i].Name != k.Name { // its place is another's now
+			c.offered[i], c.served[i] = 1, 1
+		}
 	}
+	c.set = s
 	if math.IsInf(aim, 1) {
 		aim = 1
 	}
@@ -224,16 +238,14 @@
 	if s.Resend > 0 {
 		c.target = min(c.target, s.Resend.Seconds()/2)
 	}
-	c.own.least = c.target
 	c.others = min(max(2*float64(s.Replicas-2), 1), 8)
 	// Danger: where aims are a fraction of a second and calls last about one, a T that changes each half
 	// second opens when the jam has passed and lifts long after it. T follows the aim and the rates the
 	// calls' length, up to the figures above.
-	c.beat, c.span = min(defaultGap, time.Duration(aim*float64(time.Second)/2.4)), 0
-	for _, k := range s.Classes {
-		c.span = max(c.span, min(k.MeanHold, memory))
+	c.beat, c.span = min(defaultGap, time.Duration(aim*float64(time.Second)/2.4)), span
+	for _, k := range c.calls {
+		k.most = min(k.most, s.MostTries) // an open call keeps its class; of tries, never more than either told
 	}
-	return c
 }
 
 // positive is v, or d where v makes no sense.
@@ -256,6 +268,8 @@
 		c.flowing(e)
 	case Outcome:
 		c.outcome(e)
+	case Retune:
+		c.apply(e.Settings)
 	case Sampled:
 		if x := c.byID(e.Switch); x != nil {
 			if e.Took > 0 || e.Code != OK {
@@ -406,7 +420,7 @@
 			o.Opts |= OptRedial
 		}
 	}
-	k := &call{Offer: o, at: c.now, deadline: c.now + max(o.TTL, 0), tried: map[int]bool{}}
+	k := &call{Offer: o, at: c.now, deadline: c.now + max(o.TTL, 0), most: c.set.MostTries, tried: map[int]bool{}}
 	c.calls[o.Ref] = k
 	d := c.at(o.Dest)
 	if o.Opts&OptTransit == 0 && d != nil && c.at(o.Via) != nil {
@@ -484,11 +498,14 @@
 
 // pump serves held calls, the worthiest first.
 func (c *Controller) pump() {
-	worst, all, total := 0, 0.0, 0.0
+	worst, all, total := -1, 0.0, 0.0
 	for i := range c.offered {
+		if c.set.Classes[i].Retired {
+			continue
+		}
 		all += c.offered[i]
 		total += c.offered[i] * c.set.Classes[i].Gain
-		if c.served[i]*c.offered[worst] < c.served[worst]*c.offered[i] {
+		if worst < 0 || c.served[i]*c.offered[worst] < c.served[worst]*c.offered[i] {
 			worst = i
 		}
 	}
@@ -524,7 +541,7 @@
 // rounds is how many tries a call has left over tandems of a kind. Danger: where these mostly turn back, each
 // takes three processors from calls that go direct. By the square of the share: where a third stands, one.
 func (c *Controller) rounds(k *call, kind int) float64 {
-	return c.round[kind]*c.round[kind]*float64(c.set.MostTries) - 0.5 - float64(len(k.tried))
+	return c.round[kind]*c.round[kind]*float64(k.most) - 0.5 - float64(len(k.tried))
 }
 
 // reserve is how many circuits of a group are kept for direct calls: about one standard deviation of a
@@ -538,7 +555,7 @@
 	switch {
 	case d == nil || !d.ready || k.out || k.stands:
 		return false
-	case c.now < k.notBefore || c.now >= k.deadline || k.tries >= c.set.MostTries:
+	case c.now < k.notBefore || c.now >= k.deadline || k.tries >= k.most:
 		return false // the release is awaited; nothing goes out past the deadline
 	case c.spent(k), !c.own.gap.allows(c.now), !c.numberOf(k.Number).gap.allows(c.now):
 		return false
@@ -833,7 +850,7 @@
 	switch {
 	case e.NoMore:
 		c.drop(k)
-	case e.Code == OK || k.stands || k.Opts&OptTransit != 0 || k.tries >= c.set.MostTries ||
+	case e.Code == OK || k.stands || k.Opts&OptTransit != 0 || k.tries >= k.most ||
 		max(c.now, k.notBefore) >= k.until:
 		c.finish(k)
 	default:
--- a/interface.go
+++ b/interface.go
@@ -43,6 +43,7 @@
 	Repeat    string // "free", "guarded" or "single_shot"
 	Group     string // guarded: "all", "zone" or "cell"
 	Window    time.Duration
+	Retired   bool // no longer in the settings: only calls taken before have it
 }
 
 // Rules holds the figures of the binding rules.
@@ -131,6 +132,9 @@
 		Kind    ListKind
 		Entries []Entry
 	}
+	// Retune brings other settings. A class keeps its number as long as it stays as it is; one that is changed or dropped is
+	// retired, and its number serves another only when no call has it.
+	Retune struct{ Settings Settings }
 	// Offer hands a call to the controller.
 	Offer struct {
 		Ref    uint32
@@ -179,6 +183,7 @@
 )
 
 func (Topology) event()  {}
+func (Retune) event()    {}
 func (Offer) event()     {}
 func (Outcome) event()   {}
 func (Flowing) event()   {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,6 +72,7 @@
 	standing  bool
 	out       *Attempt // out, or standing
 	tries     int
+	most      int // attempts; 0: not told
 	notBefore time.Duration
 	guard     *Timer
 }
@@ -159,6 +160,58 @@
 	c.guarded(c.ctl, func() { c.M.Avoided.Set(int64(c.ctl.Avoided())) })
 }
 
+// Retune takes other settings. What is open keeps its class, so a class that is changed or dropped keeps its place in the
+// table as long as a call has it, and is retired.
+func (c *Core) Retune(set tinbeam.Settings) {
+	used := map[int]bool{}
+	for _, k := range c.calls {
+		used[k.Class] = true
+		if set.MostTries > 0 && (k.most == 0 || set.MostTries < k.most) {
+			k.most = set.MostTries
+		}
+	}
+	pools := func(s *tinbeam.Settings, i int) []int {
+		if i < len(s.AllowedPools) {
+			return s.AllowedPools[i]
+		}
+		return nil
+	}
+	old := c.Set
+	classes, allowed := slices.Clone(old.Classes), make([][]int, len(old.Classes))
+	place := map[int]int{} // of the new ones, by place in the table
+	for i := range classes {
+		allowed[i] = pools(&old, i)
+		j := slices.Index(set.Classes, classes[i])
+		if j >= 0 && slices.Equal(allowed[i], pools(&set, j)) {
+			place[j] = i
+			continue
+		}
+		classes[i].Retired = true
+	}
+	for j, k := range set.Classes {
+		c.M.Class(k.Name)
+		if _, same := place[j]; same {
+			continue
+		}
+		i := 0
+		for i < len(classes) && (!classes[i].Retired || used[i]) {
+			i++
+		}
+		if i == len(classes) {
+			classes, allowed = append(classes, k), append(allowed, nil)
+		}
+		classes[i], allowed[i] = k, pools(&set, j)
+	}
+	set.Classes, set.AllowedPools = classes, allowed
+	c.Set = set
+	c.tell(tinbeam.Retune{Settings: set})
+}
+
+// Class is the place of a class in the settings; -1: none has that name.
+func (c *Core) Class(name string) int {
+	return slices.IndexFunc(c.Set.Classes, func(k tinbeam.Class) bool { return !k.Retired && k.Name == name })
+}
+
 // class is the counters of a call's class.
 func (c *Core) class(k *Call) *metrics.Class { return c.M.Class(c.Set.Classes[k.Class].Name) }
 
@@ -239,7 +292,7 @@
 // Offer takes a call. Left counts from now.
 func (c *Core) Offer(k *Call) {
 	c.M.Offered.Inc()
-	k.taken, k.deadline = c.Now(), c.Now()+max(k.Left, 0)
+	k.taken, k.deadline, k.most = c.Now(), c.Now()+max(k.Left, 0), c.Set.MostTries
 	c.owed++
 	c.M.Pending.Set(int64(c.owed))
 	c.next++
@@ -256,9 +309,7 @@
 	}
 	// Guards against a module that keeps a call too long, whatever the cause: its caller gets an answer.
 	k.guard = c.At(max(k.deadline-answerMargin+2*time.Millisecond, c.Now()), func() {
-		c.M.LateAnswers.Inc()
-		c.refuse(k, true, 0)
-		c.tell(tinbeam.Withdrawn{Ref: k.ref})
+		c.GiveUp(k)
 	})
 	c.tell(tinbeam.Offer{Ref: k.ref, Class: k.Class, Number: k.Key, Width: k.Width, TTL: max(k.Left, 0),
 		Dest: k.Dest, Opts: k.Opts, Via: k.Via})
@@ -325,7 +376,7 @@
 	v := c.M.Violations
 	if !must.Must(k.out == nil, v, "call %s has no other attempt out", k.ID) ||
 		!must.Must(c.Now() >= k.notBefore, v, "call %s: the release is awaited", k.ID) ||
-		!must.Must(c.Set.MostTries == 0 || k.tries <= c.Set.MostTries, v, "call %s: tries are left", k.ID) ||
+		!must.Must(k.most == 0 || k.tries <= k.most, v, "call %s: tries are left", k.ID) ||
 		!must.Must(p != nil && p.entry.Mode == tinbeam.Ready, v, "far end %08x is ready", a.Switch) {
 		moot()
 		return
@@ -474,6 +525,7 @@
 		}
 	}
 	c.tell(tinbeam.Topology{Version: version, Kind: kind, Entries: entries})
+	c.count()
 }
 
 // purge forgets the far ends that were gone before: their ids do not come again, and on a long day there are ever more.
@@ -532,14 +584,21 @@
 // Clear gives every call that is owed one its final answer: there is no more time. What stands goes on.
 func (c *Core) Clear() {
 	for _, ref := range slices.Sorted(maps.Keys(c.calls)) {
-		if k := c.calls[ref]; k != nil && !k.answered {
-			c.M.LateAnswers.Inc()
-			c.refuse(k, true, 0)
-			c.tell(tinbeam.Withdrawn{Ref: ref})
+		if k := c.calls[ref]; k != nil {
+			c.GiveUp(k)
 		}
 	}
 }
 
+// GiveUp gives a call that is owed one its final answer: it failed.
+func (c *Core) GiveUp(k *Call) {
+	if !k.answered {
+		c.M.LateAnswers.Inc()
+		c.refuse(k, true, 0)
+		c.tell(tinbeam.Withdrawn{Ref: k.ref})
+	}
+}
+
 // Owed is how many calls wait for their final answer.
 func (c *Core) Owed() int { return c.owed }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -140,6 +140,40 @@
 	}
 }
 
+// What is open keeps its class when the settings change; what comes has the new one, and fewer attempts hold for all. However
+// often they change, the table of classes does not grow.
+func TestRetune(t *testing.T) {
+	b := newBench(nil)
+	was := b.Set
+	b.offer("a", 5*time.Second)
+	b.offer("b", 5*time.Second)
+	now := was
+	now.Classes = []tinbeam.Class{was.Classes[0], {Name: "pull", Aim: time.Second, HardLimit: time.Second, Repeat: "free"}}
+	now.Classes[0].Repeat, now.MostTries = "single_shot", 2
+	b.Retune(now)
+	k := &Call{ID: "c", Class: b.Class("check"), Width: 1, Left: 5 * time.Second, Dest: 1, Via: -1, Caller: b}
+	b.Offer(k)
+	for _, at := range b.sent {
+		b.Ended(at, tinbeam.Failed, 0, nil, 47)
+	}
+	b.run(50 * time.Millisecond) // a and b are sent again, and not a third time
+	b.Ended(b.sent[3], tinbeam.Failed, 0, nil, 47)
+	b.expect(t, "set up a", "set up b", "set up c", "set up a", "set up b", "refuse c true", "refuse a false")
+	now.Classes, now.MostTries = now.Classes[1:], 1
+	b.Retune(now)
+	if b.Class("check") >= 0 || b.Class("pull") < 0 || b.Set.Classes[b.sent[4].Call.Class].Repeat != "free" {
+		t.Errorf("%+v", b.Set.Classes)
+	}
+	b.Ended(b.sent[4], tinbeam.Failed, 0, nil, 47)
+	for i := 0; i < 100; i++ {
+		now.Classes = []tinbeam.Class{{Name: "check", HardLimit: time.Duration(i + 1)}}
+		b.Retune(now)
+	}
+	if n := len(b.Set.Classes); n > 3 {
+		t.Errorf("%d classes", n)
+	}
+}
+
 func TestNothingFreshToOneThatDrains(t *testing.T) {
 	b := newBench(nil)
 	b.list(tinbeam.Draining)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -34,6 +34,13 @@
 	termLook   = 20 * time.Millisecond
 )
 
+// How callers are sent away: where operators ask for it, callers have nowhere else to go before the front knows, and have to be
+// gone after 4 s; where another process holds their socket too, they find it at once.
+var (
+	drainPace = platform.Pace{Refuse: 3300 * time.Millisecond, Close: 3600 * time.Millisecond, Over: 3750 * time.Millisecond}
+	handPace  = platform.Pace{Close: 100 * time.Millisecond}
+)
+
 // App is one call agent.
 type App struct {
 	M       *metrics.Set
@@ -168,7 +175,15 @@
 		a.M.Drains.Inc()
 	}
 	a.log.Info("drain", zap.Bool("callers are sent away", on))
-	a.loop.PostEnd(func() { a.callers.Away(a.away.Load() || a.ending) })
+	a.loop.PostEnd(func() {
+		switch {
+		case a.ending:
+		case a.away.Load():
+			a.callers.Away(&drainPace)
+		default:
+			a.callers.Away(nil)
+		}
+	})
 }
 
 // figures is what operators are shown, under their names.
@@ -217,6 +232,14 @@
 // Addr is where callers connect.
 func (a *App) Addr() string { return a.ln.Addr() }
 
+// ManagementAddr is where operators call; "" without that.
+func (a *App) ManagementAddr() string {
+	if a.door == nil {
+		return ""
+	}
+	return a.door.Addr()
+}
+
 // GatewayAddr is where gateways send to; "" without that front.
 func (a *App) GatewayAddr() string {
 	if a.udp == nil {
@@ -244,11 +267,11 @@
 	pushes.Wait()
 }
 
-// Reload reads the configuration anew and follows the change log that it names. It reads on the caller's goroutine,
-// beside the loop. Calls, far ends and the number of the last event held stay as they are; a file that cannot be used
-// changes nothing. What else the file holds is for the next start.
-func (a *App) Reload(read func() (*config.Config, error)) {
-	c, err := read()
+// Reload reads the configuration anew, takes its settings, and follows the change log that it names. It reads on the
+// caller's goroutine, beside the loop. Calls, far ends and the number of the last event held stay as they are, and calls that
+// are open keep their class; a file that cannot be used changes nothing. The addresses and the limits are for the next start.
+func (a *App) Reload(read func(present *config.Config) (*config.Config, error)) {
+	c, err := read(a.cfg)
 	if err != nil {
 		a.M.ReloadsFailed.Inc()
 		a.log.Error("reload failed, all stays as it was", zap.Error(err))
@@ -257,11 +280,16 @@
 	a.M.Reloads.Inc()
 	a.log.Info("configuration read anew", zap.String("changelog", c.Changelog))
 	old := a.cfg
-	if c.Listen != old.Listen || c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets ||
-		!reflect.DeepEqual(c.Settings, old.Settings) {
-		a.log.Warn("the address, the limits and the settings hold until the next start")
+	if c.Listen != old.Listen || c.Management != old.Management || c.MemoryMB != old.MemoryMB || c.Sockets != old.Sockets {
+		a.log.Warn("the addresses and the limits hold until the next start")
 	}
-	a.loop.Post(func() { a.feed.Move(c.Changelog) })
+	a.cfg = c
+	a.loop.Post(func() {
+		if !reflect.DeepEqual(c.Settings, old.Settings) {
+			a.core.Retune(c.Settings)
+		}
+		a.feed.Move(c.Changelog)
+	})
 }
 
 // Term ends the agent in order. It goes on taking what comes, for calls in transit come until the others have noticed; it
@@ -279,7 +307,7 @@
 				// Guards what comes from now on: it is for the process that holds the socket next. Who is connected already is
 				// served, and sent there as soon as it waits for nothing.
 				a.ln.Leave()
-				a.callers.Away(true)
+				a.callers.Away(&handPace)
 				most = handMost
 			}
 			for _, k := range a.core.Set.Classes {
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -37,6 +39,7 @@
 		"Reason: Q.850;cause=16\nContent-Length: 0\n",
 	"looped": "<-SIP/2.0 482 Loop Detected\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
 	"bad":    "<-SIP/2.0 400 Bad Request\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
+	"failed": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 OPTIONS\nContent-Length: 0\n",
 	"refused": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\n" +
 		"Content-Length: 0\n",
 }
@@ -64,6 +67,7 @@
 //	@ skip                      the change log's next event is lost
 //	@ repeat                    its last event comes once more
 //	@ reload                    the program is told of a new change log; @ reload bad: of a file that cannot be read
+//	@ asks METHOD PATH CODE     operators call the program, and it answers with the code; the text is in the answer
 //	@ setting KEY VALUE         a setting that is not as in settings.json
 //	@ count COUNTER N           the counter comes to N
 //	@ term                      the program is told to end; @ ended waits for it
@@ -391,7 +395,22 @@
 			p.log = p.listen(fmt.Sprint("log", p.seq), part{})
 			cfg.Changelog = p.log.ln.Addr().String()
 		}
-		p.app.Reload(func() (*config.Config, error) { return &cfg, err })
+		p.app.Reload(func(*config.Config) (*config.Config, error) { return &cfg, err })
+		return
+	case "asks":
+		r, err := http.NewRequest(words[1], "http://"+p.app.ManagementAddr()+words[2], nil)
+		if err != nil {
+			p.Fatal(err)
+		}
+		got, err := (&http.Client{Timeout: patience}).Do(r)
+		if err != nil {
+			p.Fatal(err)
+		}
+		body, err := io.ReadAll(got.Body)
+		got.Body.Close()
+		if got.StatusCode != atoi(p, words[3]) || err != nil || !strings.Contains(string(body), strings.Join(text, "\n")) {
+			p.Errorf("%s: %s %q %v", what, got.Status, body, err)
+		}
 		return
 	case "skip":
 		p.seq++
@@ -600,7 +619,7 @@
 	for _, kv := range p.set {
 		raw = regexp.MustCompile(`"`+kv[0]+`": [^,}]*`).ReplaceAll(raw, []byte(`"`+kv[0]+`": `+kv[1]))
 	}
-	conf, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1",
+	conf, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "management": "127.0.0.1:0", "seed": "1",
 		"changelog": p.log.ln.Addr().String(), "settings": json.RawMessage(raw),
 		"known": map[string]any{"seq": 1, "results": []any{map[string]any{"seq": 1,
 			"fleet": map[string]any{"generation": 1, "reset": true, "instances": p.known}}}}})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -31,6 +32,8 @@
 	ConnectTimeout          time.Duration
 	Seq                     uint64
 	Known                   []changelog.Event
+
+	doc map[string]any // the file
 }
 
 type file struct {
@@ -60,13 +63,114 @@
 	return c, nil
 }
 
+// Reload reads the configuration of a path again, to stand in the place of present. It is taken whole or not at all: what
+// lacks a key that present has, or has a deadline or a number of attempts that is no number above 0, is turned down.
+func Reload(path string, present *Config) (*Config, error) {
+	c, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := replaces(c, present); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return c, nil
+}
+
+func replaces(c, present *Config) error {
+	if path := lacks(present.doc, c.doc, ""); path != "" {
+		return fmt.Errorf("%s is missing", path)
+	}
+	set, _ := c.doc["settings"].(map[string]any)
+	permissions, _ := set["permissions"].(map[string]any)
+	if !above0(permissions["mostTries"]) || c.Settings.MostTries < 1 {
+		return fmt.Errorf("settings.permissions.mostTries is no number above 0")
+	}
+	classes, _ := set["classes"].([]any)
+	names := map[string]bool{}
+	for i, k := range classes {
+		k, _ := k.(map[string]any)
+		if !above0(k["hardLimit"]) || c.Settings.Classes[i].HardLimit <= 0 {
+			return fmt.Errorf("settings.classes: the hardLimit of %q is no number above 0", c.Settings.Classes[i].Name)
+		}
+		if name := c.Settings.Classes[i].Name; name == "" || names[name] {
+			return fmt.Errorf("settings.classes: the name %q is empty or taken", name)
+		} else {
+			names[name] = true
+		}
+	}
+	if old, now := present.Settings, c.Settings; old.Index != now.Index || old.Home != now.Home || old.Pools != now.Pools {
+		return fmt.Errorf("settings: the own number or the shape of the network is another")
+	}
+	return nil
+}
+
+func above0(v any) bool {
+	n, ok := v.(json.Number)
+	if !ok {
+		return false
+	}
+	f, err := n.Float64()
+	return err == nil && f > 0
+}
+
+// lacks names a key that old has and now has not; "": none. Of the items of a list each needs what all the old ones have.
+func lacks(old, now any, path string) string {
+	switch old := old.(type) {
+	case map[string]any:
+		in, _ := now.(map[string]any)
+		for _, k := range slices.Sorted(maps.Keys(old)) {
+			at := strings.TrimPrefix(path+"."+k, ".")
+			if _, ok := in[k]; !ok {
+				return at
+			}
+			if p := lacks(old[k], in[k], at); p != "" {
+				return p
+			}
+		}
+	case []any:
+		in, ok := now.([]any)
+		if !ok {
+			return path
+		}
+		for _, item := range in {
+			if p := lacks(common(old), item, path+"[]"); p != "" {
+				return p
+			}
+		}
+	}
+	return ""
+}
+
+// common is what all items of a list have; nil where they are no objects.
+func common(items []any) any {
+	var all map[string]any
+	for i, item := range items {
+		m, ok := item.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if i == 0 {
+			all = maps.Clone(m)
+		}
+		maps.DeleteFunc(all, func(k string, _ any) bool { _, ok := m[k]; return !ok })
+	}
+	if all == nil {
+		return nil
+	}
+	return all
+}
+
 // Parse reads a configuration.
 func Parse(raw []byte) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Changelog: f.Changelog, Management: f.Management,
+	doc, err := object(raw)
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{doc: doc, Name: f.Name, Listen: f.Listen, Changelog: f.Changelog, Management: f.Management,
 		MemoryMB: int(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	if v := os.Getenv("BALANCER_NAME"); v != "" {
 		c.Name = v
@@ -128,12 +232,18 @@
 	return c, nil
 }
 
-// flatten writes nested JSON as the path=value lines of the simulator's hello, so that both are read by one parser.
-func flatten(raw []byte) (string, error) {
+// object reads a JSON object, its numbers as they are written.
+func object(raw []byte) (v map[string]any, err error) {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.UseNumber()
-	var v map[string]any
-	if err := dec.Decode(&v); err != nil {
+	err = dec.Decode(&v)
+	return v, err
+}
+
+// flatten writes nested JSON as the path=value lines of the simulator's hello, so that both are read by one parser.
+func flatten(raw []byte) (string, error) {
+	v, err := object(raw)
+	if err != nil {
 		return "", err
 	}
 	var out strings.Builder
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -109,3 +110,48 @@
 		t.Errorf("without a file: %+v %v", o, err)
 	}
 }
+
+// A file that SIGHUP brings is taken whole or not at all.
+func TestReload(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	reload := func(text string) (*Config, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		present, err := Parse(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return Reload(path, present)
+	}
+	good := string(raw)
+	for _, c := range []struct{ from, to, says string }{
+		{good, "", "JSON"}, {good, good[:len(good)/2], "JSON"}, {good, "{}", "listen"}, {good, "null", "listen"},
+		{`"changelog": "",`, "", "changelog is missing"}, {`"seed": "8c1f30d27a5be964",`, "", "seed"},
+		{`, "sockets": 1024`, "", "limits.sockets"}, {`"mostTries": 4, `, "", "permissions.mostTries"},
+		{`"mostTries": 4`, `"mostTries": 0`, "mostTries"}, {`"mostTries": 4`, `"mostTries": -1`, "mostTries"},
+		{`"mostTries": 4`, `"mostTries": "4"`, "mostTries"}, {`"mostTries": 4`, `"mostTries": null`, "mostTries"},
+		{`"hardLimit": 6.0`, `"hardLimit": 0`, "hardLimit"}, {`"hardLimit": 6.0`, `"hardLimit": "soon"`, "hardLimit"},
+		{`"hardLimit": 6.0`, `"hardLimit": [6]`, "hardLimit"}, {`"hardLimit": 6.0, `, "", "classes[].hardLimit"},
+		{`"name": "cancel-all", `, "", "classes[].name"}, {`"cancel-all"`, `"order-status"`, "taken"},
+		{`"homeNo": 0`, `"homeNo": 1`, "own number"}, {`"rules": {`, `"roles": {`, "settings.rules"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if text == good {
+			t.Fatalf("%s is not in the file", c.from)
+		}
+		if _, err := reload(text); err == nil || !strings.Contains(err.Error(), c.says) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.60q for %.60q: %v", c.to, c.from, err)
+		}
+	}
+	for from, to := range map[string]string{`"mostTries": 4`: `"mostTries": 2`, `"changelog": ""`: `"changelog": "127.0.0.1:7070"`,
+		`"name": "cancel-all"`: `"name": "pull-all"`, `"mostTries": 4,`: `"mostTries": 4, "further": 1,`} {
+		if c, err := reload(strings.Replace(good, from, to, 1)); err != nil || len(c.Settings.Classes) != 3 {
+			t.Errorf("%s: %v", to, err)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -112,7 +112,7 @@
 			}
 			names[strings.ToLower(g.Name)], places[g.Place] = true, true
 			o.MGCP.Gateways = append(o.MGCP.Gateways, mgcp.Gateway{Name: g.Name, Address: g.Address, ID: id,
-				Place: g.Place, Zone: max(zone, 0), Lines: g.Lines, Rings: g.Answer == "ring", Class: class})
+				Place: g.Place, Zone: max(zone, 0), Lines: g.Lines, Rings: g.Answer == "ring", Class: g.Class})
 		}
 		for _, r := range m.Routes {
 			o.MGCP.Routes = append(o.MGCP.Routes, mgcp.Route{Prefix: r.Prefix, Place: r.Place})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -77,8 +77,11 @@
 
 func attach(np netpoll.Connection, most int, events func(*Conn) Events) *Conn {
 	c := &Conn{np: np, most: most}
-	c.events = events(c)
 	c.wake.L = &c.mu
+	// Guards against an owner that learns of the connection in events, on another goroutine, and closes it at once.
+	c.mu.Lock()
+	c.events = events(c)
+	c.mu.Unlock()
 	_ = np.SetWriteTimeout(writeTimeout)
 	_ = np.AddCloseCallback(func(netpoll.Connection) error {
 		c.stop()
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -25,7 +25,7 @@
 	Zone    int      // its district
 	Lines   []string // local names of its endpoints
 	Rings   bool     // its lines ring and are answered by hand; else a connection stands at once
-	Class   int      // the class of the calls that it brings in
+	Class   string   // the class of the calls that it brings in
 }
 
 // Route sends the numbers that begin with Prefix to a place.
@@ -410,8 +410,13 @@
 		f.tone(leg, "L/ro")
 		return
 	}
-	class := f.core.Set.Classes[l.gw.Class]
-	k := &agent.Call{ID: fmt.Sprintf("%016x", f.rng.Uint64()), Number: leg.digits, Key: agent.Key(leg.digits), Class: l.gw.Class,
+	of := f.core.Class(l.gw.Class)
+	if of < 0 { // the settings have dropped it
+		f.tone(leg, "L/ro")
+		return
+	}
+	class := f.core.Set.Classes[of]
+	k := &agent.Call{ID: fmt.Sprintf("%016x", f.rng.Uint64()), Number: leg.digits, Key: agent.Key(leg.digits), Class: of,
 		Width: class.Width, Left: class.HardLimit, Dest: place, Via: -1, Caller: f, Leg: leg}
 	leg.id = k.ID
 	m := (&Message{Verb: "CRCX", Endpoint: l.name}).With("C", k.ID).With("M", "recvonly")
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -34,7 +34,6 @@
 	aheadMost  = 256                    // messages of it that are read and not handled yet
 	wrongMost  = 16                     // requests of it that were refused for what they are
 	youngMost  = 300 * time.Millisecond // a connection that has not spoken is left so long before it makes room
-	awayAfter  = 100 * time.Millisecond // callers that are sent away keep their connections so long
 	testLinger = 700 * time.Millisecond // a test that comes before the agent is ready waits for it so long
 )
 
@@ -47,7 +46,9 @@
 	legs    map[string]*callLeg // by Call-ID
 	conns   []*callerConn       // open, the latest to say something last
 	leaving bool                // the agent is about to end and takes no more calls
-	away    bool                // callers are sent away: see Away
+	away    *Pace               // how callers are sent away; nil: they are taken
+	closing bool                // and how far that has come
+	refuse  bool
 	room    int                 // connections beyond which those without a set-up make room
 	held    int                 // bytes of set-ups that are not over
 	most    int                 // bytes of set-ups held, and of messages waiting to be handled
@@ -119,19 +120,50 @@
 // Leave takes no more calls: what still comes is refused.
 func (s *Callers) Leave() { s.leaving = true }
 
-// Away sends callers away, or takes them again. What comes is served, tests are failed, and a connection is closed as soon as
-// no set-up is open on it: right behind an answer where it can be, for then no request crosses the close. A call that stands
-// belongs to no connection; its release goes to whoever connects next.
-func (s *Callers) Away(on bool) {
-	if s.away == on {
+// Pace is how callers are sent away, in times from when that began; 0: never.
+type Pace struct {
+	Close  time.Duration // from then on a connection is closed as soon as no set-up is open on it
+	Refuse time.Duration // from then on further set-ups are refused, so that the busiest connection comes to that too
+	Over   time.Duration // and then what is still open is answered, and every connection closed
+}
+
+// Away sends callers away, or with nil takes them again. Tests are failed; who is connected is served until its connection
+// can be closed, best right behind an answer, when no request crosses the close. A call that stands belongs to no
+// connection: its release goes to whoever connects next.
+func (s *Callers) Away(pace *Pace) {
+	s.away = pace
+	s.refuse = false
+	if pace == nil {
 		return
 	}
-	if s.away = on; on {
-		s.core.After(awayAfter, s.dismissAll)
+	after := func(d time.Duration, do func()) {
+		if d > 0 {
+			s.core.After(d, func() {
+				if s.away == pace { // else they were taken again meanwhile
+					do()
+				}
+			})
+		}
 	}
+	s.closing = false
+	after(pace.Close, func() {
+		s.closing = true
+		s.dismiss()
+	})
+	after(pace.Refuse, func() { s.refuse = true })
+	after(pace.Over, func() {
+		for _, c := range slices.Clone(s.conns) {
+			for _, id := range slices.Sorted(maps.Keys(c.legs)) {
+				if leg := c.legs[id]; leg.open {
+					s.core.GiveUp(leg.call)
+				}
+			}
+		}
+		s.dismiss()
+	})
 }
 
-func (s *Callers) dismissAll() {
+func (s *Callers) dismiss() {
 	for _, c := range slices.Clone(s.conns) {
 		c.dismiss()
 	}
@@ -139,7 +171,7 @@
 
 // dismiss closes a connection with no set-up open on it while callers are sent away.
 func (c *callerConn) dismiss() {
-	if c.side.away && !c.over && c.open == 0 && c.ahead.Load() == 0 && c.said {
+	if s := c.side; s.away != nil && s.closing && !c.over && c.open == 0 && c.ahead.Load() == 0 && c.said {
 		c.link.Finish()
 		c.end()
 	}
@@ -163,6 +195,7 @@
 	num   uint64
 	over  bool
 	said  bool                // a whole message has come
+	calls bool                // and one that was about a call
 	at    time.Duration       // when the last one came, or the connection
 	legs  map[string]*callLeg // set up here and not over
 	open  int                 // of them without a final answer
@@ -324,6 +357,10 @@
 	s := c.side
 	id := m.Get("Call-ID")
 	leg := s.legs[id]
+	if !c.calls && m.Method != "OPTIONS" {
+		c.calls = true
+		s.sendByes()
+	}
 	if m.Status != 0 {
 		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
 			s.over(id)
@@ -400,7 +437,7 @@
 			return
 		}
 		answered = true
-		if s.ready && !s.away {
+		if s.ready && s.away == nil {
 			c.send(m.Answer(200, "OK", ""))
 		} else {
 			c.send(m.Answer(503, "Service Unavailable", ""))
@@ -465,10 +502,11 @@
 	for _, h := range head.Headers {
 		leg.size += len(h.Name) + len(h.Value)
 	}
-	if s.leaving || c.open >= openMost || s.held+leg.size > s.most {
+	if s.leaving || s.refuse || c.open >= openMost || s.held+leg.size > s.most {
 		s.core.M.Flooded.Inc()
 		s.core.Refused(k)
 		c.send(m.Answer(503, "Service Unavailable", ""))
+		c.dismiss()
 		return
 	}
 	k.Leg = leg
@@ -486,7 +524,7 @@
 
 func (s *Callers) parse(id string, m *sip.Message) (*agent.Call, error) {
 	// Cloned, since they outlive the message, whose strings are parts of one.
-	k := &agent.Call{ID: strings.Clone(id), Number: strings.Clone(m.User()), Class: -1, Description: strings.Clone(m.Body),
+	k := &agent.Call{ID: strings.Clone(id), Number: strings.Clone(m.User()), Description: strings.Clone(m.Body),
 		Caller: s, Dest: -1, Via: -1}
 	// Guards every other call on a connection to a far end: what a far end cannot read makes it close the connection.
 	switch {
@@ -497,12 +535,7 @@
 	case len(k.Description)+len(k.Number) > farend.MaxLine/8 && len(launch(k, "", 0).Append(nil)) > farend.MaxLine-64:
 		return nil, fmt.Errorf("the description is too long to be passed on")
 	}
-	for i, cl := range s.core.Set.Classes {
-		if cl.Name == m.Get("P-Kind") {
-			k.Class = i
-		}
-	}
-	if k.Class < 0 {
+	if k.Class = s.core.Class(m.Get("P-Kind")); k.Class < 0 {
 		return nil, fmt.Errorf("class %q is not in the settings", m.Get("P-Kind"))
 	}
 	class := s.core.Set.Classes[k.Class]
@@ -606,8 +639,9 @@
 		leg.byeOn = c
 		return
 	}
+	// Guards the release against one that only tests: its connection is closed behind the answer, with the rest unread.
 	for i := len(s.conns) - 1; i >= 0; i-- {
-		if c := s.conns[i]; c.link.Send(leg.bye, nil) {
+		if c := s.conns[i]; (c.calls || !c.said || s.core.Now()-c.at >= byeEvery) && c.link.Send(leg.bye, nil) {
 			leg.byeOn = c
 			return
 		}
@@ -615,21 +649,23 @@
 	leg.byeOn = nil
 }
 
+// sendByes sends the releases that no open connection carries.
+func (s *Callers) sendByes() {
+	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
+		if leg := s.byes[id]; leg.byeOn == nil || leg.byeOn.over {
+			s.sendBye(leg)
+		}
+	}
+}
+
 // sweep sends releases again whose connection closed before they were confirmed, or that found none.
 func (s *Callers) sweep() {
-	ids := make([]string, 0, len(s.byes))
-	for id := range s.byes {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		leg := s.byes[id]
-		if s.core.Now()-leg.endAt > byeMost {
+	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
+		if s.core.Now()-s.byes[id].endAt > byeMost {
 			s.over(id)
-		} else if leg.byeOn == nil || leg.byeOn.over {
-			s.sendBye(leg)
 		}
 	}
+	s.sendByes()
 	for _, c := range slices.Clone(s.conns) {
 		// Guards the descriptors against those that open a connection, or begin a message, and say nothing more.
 		if !c.said && s.core.Now()-c.at > silentMost || c.link.Stuck() > silentMost {
@@ -638,6 +674,6 @@
 			c.end()
 		}
 	}
-	s.dismissAll()
+	s.dismiss()
 	s.core.M.QueueLength.Set(int64(s.core.Queued()))
 }
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -22,7 +23,7 @@
 func side() *Callers { return sideOn(agent.SystemClock(), 100) }
 
 func sideOn(clock func() time.Duration, room int) *Callers {
-	set := tinbeam.Settings{Classes: []tinbeam.Class{{Name: "check", Aim: time.Second, HardLimit: 9 * time.Second}}}
+	set := tinbeam.Settings{Classes: []tinbeam.Class{{Name: "check", Aim: 5 * time.Second, HardLimit: 9 * time.Second}}}
 	core := agent.New(agent.NewLoop(clock), set, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
 	return NewCallers(core, zap.NewNop(), "here", room, 64<<20)
 }
@@ -158,3 +159,103 @@
 		t.Error("it was handled")
 	}
 }
+
+// Callers that are sent away are served until nothing is open on their connection; the last ones are refused and then
+// answered, so that every connection comes to its end. Taken again in between, they stay.
+func TestSentAway(t *testing.T) {
+	now := time.Hour
+	s := sideOn(func() time.Duration { return now }, 10)
+	connect := dialer(t, s)
+	pace := &Pace{Close: time.Second, Refuse: 2 * time.Second, Over: 3 * time.Second}
+	var peers []net.Conn
+	open := func(n int) { // and say something, else they count as silent
+		for i := 0; i < n; i++ {
+			peers = append(peers, connect())
+			for len(s.conns) < i+1 {
+				s.core.Step()
+			}
+		}
+		for _, c := range s.conns {
+			c.said = true
+		}
+	}
+	pass := func(d time.Duration) {
+		now += d
+		s.core.Step()
+	}
+	offer := func(c *callerConn, id string) {
+		s.invite(c, id, invite(id, "check", "9000", "dest:1", "v=0"))
+	}
+	s.core.Listed(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, Place: 1, Mode: tinbeam.Ready}}, nowhere{})
+	open(3)
+	busy, last, quiet := s.conns[0], s.conns[1], s.conns[2]
+	s.Away(pace)
+	pass(500 * time.Millisecond)
+	s.Away(nil)
+	pass(5 * time.Second)
+	if quiet.over || s.closing {
+		t.Fatal("callers that are taken again were sent away")
+	}
+	s.Away(pace)
+	pass(500 * time.Millisecond)
+	offer(busy, "9b1f03aa5c7e2d41")
+	offer(last, "9b1f03aa5c7e2d42")
+	if quiet.over {
+		t.Error("closed too soon")
+	}
+	pass(500 * time.Millisecond)
+	if !quiet.over || busy.over || last.over {
+		t.Errorf("closed: %t %t %t", quiet.over, busy.over, last.over)
+	}
+	s.core.GiveUp(s.legs["9b1f03aa5c7e2d41"].call)
+	if !busy.over {
+		t.Error("not closed behind its answer")
+	}
+	pass(time.Second)
+	offer(last, "9b1f03aa5c7e2d43")
+	if s.legs["9b1f03aa5c7e2d43"] != nil {
+		t.Error("a set-up was taken when no more should be")
+	}
+	pass(time.Second)
+	if len(s.conns) != 0 || s.core.Owed() != 0 {
+		t.Errorf("%d connections, %d answers owed", len(s.conns), s.core.Owed())
+	}
+	got, err := io.ReadAll(peers[1])
+	if n := bytes.Count(got, []byte("SIP/2.0 5")); n != 2 || err != nil {
+		t.Errorf("%d answers: %q %v", n, got, err)
+	}
+}
+
+// nowhere is a far side that answers nothing.
+type nowhere struct{}
+
+func (nowhere) SetUp(*agent.Attempt)        {}
+func (nowhere) GiveUp(*agent.Attempt)       {}
+func (nowhere) Release(*agent.Attempt, int) {}
+func (nowhere) Probe(uint32)                {}
+
+// A release goes to one that brings calls, not to one that tests and is gone behind the answer.
+func TestReleaseIsNotForTesters(t *testing.T) {
+	now := time.Hour
+	s := sideOn(func() time.Duration { return now }, 10)
+	connect := dialer(t, s)
+	for i := 1; i <= 2; i++ {
+		connect()
+		for len(s.conns) < i {
+			s.core.Step()
+		}
+	}
+	caller, tester := s.conns[0], s.conns[1]
+	tester.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f01"}}})
+	caller.said = true
+	leg := &callLeg{conn: &callerConn{over: true}, bye: []byte("BYE"), call: &agent.Call{ID: "9b1f03aa5c7e2d41"}}
+	s.byes["9b1f03aa5c7e2d41"] = leg
+	s.sendByes()
+	if leg.byeOn != nil {
+		t.Error("sent where nobody brings calls")
+	}
+	caller.message(invite("9b1f03aa5c7e2d42", "none", "1", "", ""))
+	if leg.byeOn != caller {
+		t.Error("not sent on the first connection that brings a call")
+	}
+}
