Outstanding counts calls that stand; a gateway stand-in that restarts says so at once

Figures showed calls_pending alone (internal/app, Figures). A request is taken until its call is over, so those that stand count.

TestMixedTraffic failed twice in 14 runs with 'a connection for B while it holds A', both calls from about 150 ms, when the stand-in restarts: it let go of its lock between losing its connections and saying RSIP, so that a connection made in between was taken for lost.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -186,7 +186,7 @@
 	})
 }
 
-// figures is what operators are shown, under their names.
+// figures is what operators are shown, under their names. Outstanding are the calls that wait for an answer or stand.
 type figures struct {
 	Succeeded   map[string]int64 `json:"succeeded"`
 	Declined    map[string]int64 `json:"declined"`
@@ -203,7 +203,7 @@
 func (a *App) Figures() any {
 	m := a.M
 	f := figures{Succeeded: map[string]int64{}, Declined: map[string]int64{}, Aborted: map[string]int64{},
-		Forwards: m.Launches.Value(), Outstanding: m.Pending.Value(), Discovered: m.Listed.Value(),
+		Forwards: m.Launches.Value(), Outstanding: m.Pending.Value() + m.Standing.Value(), Discovered: m.Listed.Value(),
 		Ejected: m.Avoided.Value(), Applied: m.Reloads.Value(), Rejected: m.ReloadsFailed.Value()}
 	for _, name := range m.Classes() {
 		c := m.Class(name)
--- a/internal/app/mixed_test.go
+++ b/internal/app/mixed_test.go
@@ -126,9 +126,14 @@
 
 func (g *gatewayStandIn) tell(endpoint, verb string, params ...mgcp.Param) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.say(endpoint, verb, params...)
+}
+
+// say is tell for one that holds the lock.
+func (g *gatewayStandIn) say(endpoint, verb string, params ...mgcp.Param) {
 	g.tx++
 	m := mgcp.Message{Verb: verb, Tx: g.tx, Endpoint: endpoint, Params: params}
-	g.mu.Unlock()
 	b := m.Append(nil)
 	g.conn.WriteTo(b, g.agent)
 	if fate(fmt.Sprint(endpoint, m.Tx), verb, 3) == 0 {
@@ -215,15 +220,16 @@
 	}
 }
 
-// restart loses all connections and says so.
+// restart loses all connections and says so before it does anything else: a connection made in between would be taken
+// for one that is lost.
 func (g *gatewayStandIn) restart() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	for endpoint, id := range g.held {
 		delete(g.held, endpoint)
 		g.w.end(id, g.name)
 	}
-	g.mu.Unlock()
-	g.tell("*@"+g.name, "RSIP", mgcp.Param{Name: "RM", Value: "restart"})
+	g.say("*@"+g.name, "RSIP", mgcp.Param{Name: "RM", Value: "restart"})
 }
 
 // desk lifts the receiver at an endpoint, dials, hears the call out, and hangs up; again and again.
