Releases go on until they have surely reached callers, not any connection that is open

Bad clients hold their connections then, and sendBye took the last that was open; one that is not confirmed stayed there until that one ended.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -195,7 +195,8 @@
 	num   uint64
 	over  bool
 	said  bool                // a whole message has come
-	calls bool                // and one that was about a call
+	calls bool                // and a set-up that could be taken
+	acked bool                // and the acknowledgement of an answer
 	at    time.Duration       // when the last one came, or the connection
 	legs  map[string]*callLeg // set up here and not over
 	open  int                 // of them without a final answer
@@ -357,10 +358,6 @@
 	s := c.side
 	id := m.Get("Call-ID")
 	leg := s.legs[id]
-	if !c.calls && m.Method != "OPTIONS" {
-		c.calls = true
-		s.sendByes()
-	}
 	if m.Status != 0 {
 		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
 			s.over(id)
@@ -373,6 +370,10 @@
 	case "ACK":
 		if leg != nil {
 			leg.acked = true
+			if !c.acked && !leg.open {
+				c.acked = true
+				s.sendByes()
+			}
 		}
 	case "CANCEL":
 		if leg == nil || leg.open && leg.conn != c { // a set-up belongs to its connection, a call that stands to none
@@ -509,6 +510,10 @@
 		c.dismiss()
 		return
 	}
+	if !c.calls {
+		c.calls = true
+		s.sendByes()
+	}
 	k.Leg = leg
 	s.legs[id], c.legs[id] = leg, leg
 	c.open++
@@ -639,20 +644,46 @@
 		leg.byeOn = c
 		return
 	}
-	// Guards the release against one that only tests: its connection is closed behind the answer, with the rest unread.
-	for i := len(s.conns) - 1; i >= 0; i-- {
-		if c := s.conns[i]; (c.calls || !c.said || s.core.Now()-c.at >= byeEvery) && c.link.Send(leg.bye, nil) {
-			leg.byeOn = c
-			return
+	last := leg.byeOn
+	leg.byeOn = nil
+	for rank := acked; rank > stranger; rank-- {
+		for i := len(s.conns) - 1; i >= 0; i-- {
+			if c := s.conns[i]; c != last && c.rank() == rank && c.link.Send(leg.bye, nil) {
+				leg.byeOn = c
+				return
+			}
 		}
 	}
-	leg.byeOn = nil
 }
 
-// sendByes sends the releases that no open connection carries.
+// How sure it is that a connection leads to the callers.
+const (
+	stranger = iota // it only tests, and is closed behind the answer with the rest unread
+	silent          // it has said nothing, or nothing for a while
+	caller          // it has brought a call that could be taken
+	acked           // it has acknowledged an answer
+)
+
+// rank guards releases against connections that others hold: one that sends all sorts of things reads a release, and nobody
+// else hears of it.
+func (c *callerConn) rank() int {
+	switch {
+	case c.acked:
+		return acked
+	case c.calls:
+		return caller
+	case !c.said || c.side.core.Now()-c.at >= byeEvery:
+		return silent
+	}
+	return stranger
+}
+
+// sendByes sends the releases again that have not surely reached the callers: the connection that carried them has ended, or is
+// not known to be theirs and did not confirm.
 func (s *Callers) sendByes() {
 	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
-		if leg := s.byes[id]; leg.byeOn == nil || leg.byeOn.over {
+		leg := s.byes[id]
+		if on := leg.byeOn; on == nil || on.over || on != leg.conn && on.rank() < acked {
 			s.sendBye(leg)
 		}
 	}
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -234,28 +235,47 @@
 func (nowhere) Release(*agent.Attempt, int) {}
 func (nowhere) Probe(uint32)                {}
 
-// A release goes to one that brings calls, not to one that tests and is gone behind the answer.
-func TestReleaseIsNotForTesters(t *testing.T) {
+// A release whose connection has ended goes to one that brings calls, not to one that tests and is gone behind the answer; it
+// goes on to the next as long as it is not sure that it has reached the callers.
+func TestReleaseReachesCallers(t *testing.T) {
 	now := time.Hour
 	s := sideOn(func() time.Duration { return now }, 10)
+	s.core.Listed(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, Place: 1, Mode: tinbeam.Ready}}, nowhere{})
 	connect := dialer(t, s)
-	for i := 1; i <= 2; i++ {
+	for i := 1; i <= 3; i++ {
 		connect()
 		for len(s.conns) < i {
 			s.core.Step()
 		}
 	}
-	caller, tester := s.conns[0], s.conns[1]
-	tester.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f01"}}})
-	caller.said = true
+	first, other, tester := s.conns[0], s.conns[1], s.conns[2]
+	for _, c := range slices.Clone(s.conns) {
+		c.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f01"}}})
+	}
 	leg := &callLeg{conn: &callerConn{over: true}, bye: []byte("BYE"), call: &agent.Call{ID: "9b1f03aa5c7e2d41"}}
 	s.byes["9b1f03aa5c7e2d41"] = leg
-	s.sendByes()
-	if leg.byeOn != nil {
-		t.Error("sent where nobody brings calls")
-	}
-	caller.message(invite("9b1f03aa5c7e2d42", "none", "1", "", ""))
-	if leg.byeOn != caller {
-		t.Error("not sent on the first connection that brings a call")
+	on := func(what string, want *callerConn) {
+		t.Helper()
+		if leg.byeOn != want {
+			t.Errorf("%s: it is on %+v", what, leg.byeOn)
+		}
 	}
+	s.sendByes()
+	on("only testers", nil)
+	other.message(invite("9b1f03aa5c7e2d42", "none", "1", "dest:1", ""))
+	on("a set-up that makes no sense", nil)
+	other.message(invite("9b1f03aa5c7e2d43", "check", "1500", "dest:1", ""))
+	on("one that brings a call", other)
+	first.message(invite("9b1f03aa5c7e2d44", "check", "1500", "dest:1", ""))
+	on("not confirmed by the first", first)
+	k := s.legs["9b1f03aa5c7e2d43"].call
+	s.Answer(k, "v=0")
+	other.message(&sip.Message{Method: "ACK", Headers: []sip.Header{{Name: "Call-ID", Value: k.ID}}})
+	on("one that takes answers", other)
+	s.sendByes()
+	on("that is sure", other)
+	other.end()
+	tester.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f02"}}})
+	s.sendByes()
+	on("that has ended", first)
 }
