--- a/cmd/tinbeam/main_test.go
+++ b/cmd/tinbeam/main_test.go
@@ -30,6 +30,8 @@
 	return s.text.String()
 }
 
+var anyPort = regexp.MustCompile(`"(listen|management)": "[^"]*"`)
+
 // Guards against a SIGHUP that ends the program: it reads the configuration anew and goes on, until SIGTERM.
 func TestSignals(t *testing.T) {
 	spare := make(chan os.Signal, 64) // a signal that comes before serve listens must not end the test
@@ -40,10 +42,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(config, []byte(strings.Replace(string(raw), "127.0.0.1:2905", "127.0.0.1:0", 1)), 0o600); err != nil {
+	if err := os.WriteFile(config, []byte(anyPort.ReplaceAllString(string(raw), `"$1": "127.0.0.1:0"`)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	t.Setenv("BALANCER_LISTEN", "")
+	t.Setenv("BALANCER_MANAGEMENT", "")
+	t.Setenv("BALANCER_PASSED_SOCKET", "")
 	var out said
 	ended := make(chan error, 1)
 	go func() { ended <- run([]string{"serve", "-c", config, "-l", "error"}, &out) }()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -340,7 +340,8 @@
 		c.M.Failed.Inc()
 		c.class(k).Failed.Inc()
 	} else {
-		c.Refused(k)
+		c.M.Refused.Inc()
+		c.Declined(k)
 	}
 	if e := c.log.Check(zap.DebugLevel, "refused"); e != nil {
 		e.Write(zap.String("call", k.ID), zap.Int("dest", k.Dest), zap.Int("class", k.Class), zap.Float64("width", k.Width),
@@ -350,11 +351,8 @@
 	c.see("refused", k)
 }
 
-// Refused counts a call that was refused; one that is refused at the door never was offered.
-func (c *Core) Refused(k *Call) {
-	c.M.Refused.Inc()
-	c.class(k).Refused.Inc()
-}
+// Declined counts a call of its class that was refused; one that is refused at the door is so, and never was offered.
+func (c *Core) Declined(k *Call) { c.class(k).Refused.Inc() }
 
 func (c *Core) see(name string, k *Call) {
 	if c.hook != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -128,7 +128,7 @@
 	add(&s.Flooded, "flooded_total", "set-ups refused at the door since a connection, or all together, sent too many")
 	add(&s.Violations, "violations_total", "conditions that must hold and did not")
 	add(&s.Panics, "panics_total", "decisions that failed")
-	add(&s.LateAnswers, "late_answers_total", "final answers that the core gave itself at the deadline")
+	add(&s.LateAnswers, "late_answers_total", "final answers that the core gave itself, at the deadline, at the end, or to callers sent away")
 	add(&s.PluginCalls, "plugin_calls_total", "events shown to the plug-in")
 	add(&s.PluginRefusals, "plugin_refusals_total", "calls that the plug-in refused")
 	add(&s.PluginFailures, "plugin_failures_total", "plug-in calls that failed or ran too long")
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -505,7 +505,7 @@
 	}
 	if s.leaving || s.refuse || c.open >= openMost || s.held+leg.size > s.most {
 		s.core.M.Flooded.Inc()
-		s.core.Refused(k)
+		s.core.Declined(k)
 		c.send(m.Answer(503, "Service Unavailable", ""))
 		c.dismiss()
 		return
