A caller whose CANCEL crosses the answer is told that its call is over

What is left in the code is the one end of a standing call with no release: callers.go, CANCEL, after ackWait without an ACK the call was hung up at the far end and forgotten.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -195,6 +195,7 @@
 	num   uint64
 	over  bool
 	said  bool                // a whole message has come
+	talks bool                // and one that is no test
 	calls bool                // and a set-up that could be taken
 	acked bool                // and the acknowledgement of an answer
 	at    time.Duration       // when the last one came, or the connection
@@ -267,6 +268,11 @@
 			s.core.Abandoned(leg.call)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
+		if leg := s.byes[id]; leg.byeOn == c { // not confirmed: it may not have been read
+			s.sendBye(leg)
+		}
+	}
 }
 
 // Ready tells that the agent can take calls: tests are passed from now on.
@@ -358,6 +364,7 @@
 	s := c.side
 	id := m.Get("Call-ID")
 	leg := s.legs[id]
+	c.talks = c.talks || m.Method != "OPTIONS"
 	if m.Status != 0 {
 		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
 			s.over(id)
@@ -394,9 +401,10 @@
 		// comes and the call must not stand for ever.
 		if !leg.acked {
 			s.core.After(ackWait, func() {
-				if s.legs[id] == leg && !leg.acked && leg.bye == nil {
-					s.over(id)
-					s.core.Hangup(leg.call, 16)
+				if k := leg.call; s.legs[id] == leg && !leg.acked && leg.bye == nil && k.Standing() {
+					// Guards a caller that did take the answer, and whose word of it has not come: to it the call would stand.
+					s.core.Hangup(k, 16)
+					s.Release(k, 16)
 				}
 			})
 		}
@@ -654,12 +662,15 @@
 			}
 		}
 	}
+	if last != nil && !last.over {
+		leg.byeOn = last // there is no other
+	}
 }
 
 // How sure it is that a connection leads to the callers.
 const (
 	stranger = iota // it only tests, and is closed behind the answer with the rest unread
-	silent          // it has said nothing, or nothing for a while
+	silent          // it has said nothing, nothing for a while, or nothing that tells
 	caller          // it has brought a call that could be taken
 	acked           // it has acknowledged an answer
 )
@@ -672,7 +683,7 @@
 		return acked
 	case c.calls:
 		return caller
-	case !c.said || c.side.core.Now()-c.at >= byeEvery:
+	case !c.said || c.talks || c.side.core.Now()-c.at >= byeEvery:
 		return silent
 	}
 	return stranger
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -227,10 +227,14 @@
 	}
 }
 
-// nowhere is a far side that answers nothing.
-type nowhere struct{}
+// nowhere is a far side that answers nothing, and keeps the last attempt for the test where it has room.
+type nowhere struct{ last **agent.Attempt }
 
-func (nowhere) SetUp(*agent.Attempt)        {}
+func (n nowhere) SetUp(a *agent.Attempt) {
+	if n.last != nil {
+		*n.last = a
+	}
+}
 func (nowhere) GiveUp(*agent.Attempt)       {}
 func (nowhere) Release(*agent.Attempt, int) {}
 func (nowhere) Probe(uint32)                {}
@@ -264,6 +268,8 @@
 	on("only testers", nil)
 	other.message(invite("9b1f03aa5c7e2d42", "none", "1", "dest:1", ""))
 	on("a set-up that makes no sense", nil)
+	s.sendByes()
+	on("for want of a better one", other)
 	other.message(invite("9b1f03aa5c7e2d43", "check", "1500", "dest:1", ""))
 	on("one that brings a call", other)
 	first.message(invite("9b1f03aa5c7e2d44", "check", "1500", "dest:1", ""))
@@ -275,7 +281,40 @@
 	s.sendByes()
 	on("that is sure", other)
 	other.end()
-	tester.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f02"}}})
-	s.sendByes()
 	on("that has ended", first)
+	tester.message(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f02"}}})
+	first.end()
+	on("only a tester", nil)
+}
+
+// A caller whose CANCEL crosses the answer and who acknowledges nothing is told that the call is over: it may have taken it.
+func TestCancelCrossesTheAnswer(t *testing.T) {
+	now := time.Hour
+	s := sideOn(func() time.Duration { return now }, 10)
+	var out *agent.Attempt
+	s.core.Listed(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, Place: 1, Mode: tinbeam.Ready}}, nowhere{&out})
+	peer := dialer(t, s)()
+	for len(s.conns) < 1 {
+		s.core.Step()
+	}
+	c, m := s.conns[0], invite("9b1f03aa5c7e2d41", "check", "9000", "dest:1", "v=0")
+	c.message(m)
+	s.core.Answered(out, "v=0")
+	m.Method = "CANCEL"
+	c.message(m)
+	now += ackWait
+	s.core.Step()
+	peer.SetReadDeadline(time.Now().Add(20 * time.Second))
+	var got []byte
+	for buf := make([]byte, 4096); !bytes.Contains(got, []byte("BYE sip:")); {
+		n, err := peer.Read(buf)
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, buf[:n]...)
+	}
+	c.message(&sip.Message{Status: 481, Headers: []sip.Header{{Name: "Call-ID", Value: m.Get("Call-ID")}, {Name: "CSeq", Value: "1 BYE"}}})
+	if s.Held() != 0 || s.core.Held() != 0 {
+		t.Errorf("%d and %d calls are held", s.Held(), s.core.Held())
+	}
 }
