Log why attempts, set-ups and connections end; gauges on memory and goroutines

Change: debug lines for the start, answer and end of each attempt with call, try, far end, code and cause; the reason of each refusal; dials, openings and losses of connections to far ends and to the change log; gauges memory_bytes and goroutines.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,6 +52,17 @@
 	Event(name string, c *Call)
 }
 
+// refusalReason says why a call got a negative final answer. It is logged with the answer.
+type refusalReason string
+
+const (
+	refusedByPolicy  refusalReason = "declined by the decision module"
+	failedByPolicy   refusalReason = "given up by the decision module"
+	refusedByPlugin  refusalReason = "refused by the plug-in"
+	refusedCallLimit refusalReason = "too many open calls"
+	failedByDeadline refusalReason = "no final answer before the deadline"
+)
+
 // Call is one call, from its offer to its end.
 type Call struct {
 	ID          string        // the ID used in messages: 16 hex digits
@@ -102,6 +113,15 @@
 	timer *Timer
 }
 
+// Try returns the index of the attempt among those of its call, from 0.
+func (a *Attempt) Try() int { return a.try }
+
+// logFields returns the fields that identify the attempt in the log.
+func (a *Attempt) logFields(more ...zap.Field) []zap.Field {
+	return append([]zap.Field{zap.String("call", a.Call.ID), zap.Int("try", a.try),
+		zap.String("far", fmt.Sprintf("s-%08x", a.Switch))}, more...)
+}
+
 // Established reports whether the call has been answered and has not ended.
 func (k *Call) Established() bool { return k.established }
 
@@ -266,11 +286,11 @@
 		c.setUp(a)
 	case tinbeam.Decline:
 		if k := c.calls[a.Ref]; k != nil {
-			c.refuse(k, false, a.RetryAfter)
+			c.refuse(k, false, a.RetryAfter, refusedByPolicy)
 		}
 	case tinbeam.GiveUp:
 		if k := c.calls[a.Ref]; k != nil {
-			c.refuse(k, true, 0)
+			c.refuse(k, true, 0, failedByPolicy)
 		}
 	case tinbeam.Withdraw:
 		if k := c.calls[a.Ref]; k != nil && k.attempt != nil && k.attempt.try == a.Try && !k.established {
@@ -304,11 +324,11 @@
 	c.calls[k.ref] = k
 	switch {
 	case len(c.calls) > c.maxCalls:
-		c.refuse(k, false, c.Settings.MaxRetryAfter)
+		c.refuse(k, false, c.Settings.MaxRetryAfter, refusedCallLimit)
 		return
 	case c.hook != nil && c.hook.Refuse(k):
 		c.Metrics.PluginRefusals.Inc()
-		c.refuse(k, false, c.Settings.MaxRetryAfter)
+		c.refuse(k, false, c.Settings.MaxRetryAfter, refusedByPlugin)
 		return
 	}
 	// Without this timer, a call that the decision module keeps too long, for whatever reason, would get no answer
@@ -333,7 +353,7 @@
 	return true
 }
 
-func (c *Core) refuse(k *Call, failed bool, retryAfter time.Duration) {
+func (c *Core) refuse(k *Call, failed bool, retryAfter time.Duration, reason refusalReason) {
 	if !c.claimFinalAnswer(k) {
 		return
 	}
@@ -352,7 +372,7 @@
 	if e := c.log.Check(zap.DebugLevel, "refused"); e != nil {
 		e.Write(zap.String("call", k.ID), zap.Int("dest", k.Dest), zap.Int("class", k.Class), zap.Float64("width", k.Width),
 			zap.Uint8("marks", k.Flags), zap.Int("tries", k.attempts), zap.Duration("after", c.Now()-k.offeredAt),
-			zap.Bool("failed", failed))
+			zap.Bool("failed", failed), zap.String("reason", string(reason)))
 	}
 	k.Caller.Refuse(k, failed, retryAfter)
 	c.notifyHook("refused", k)
@@ -397,6 +417,9 @@
 	attempt := &Attempt{Call: k, Switch: a.Switch, Timeout: left, try: try, SentAt: c.Now()}
 	k.attempt = attempt
 	c.Metrics.Attempts.Inc()
+	if e := c.log.Check(zap.DebugLevel, "attempt started"); e != nil {
+		e.Write(attempt.logFields(zap.Duration("timeout", left))...)
+	}
 	attempt.timer = c.After(left, func() {
 		f.side.Cancel(attempt)
 		c.Ended(attempt, tinbeam.TimedOut, 0, nil, 0)
@@ -424,6 +447,9 @@
 		return
 	}
 	k.established = true
+	if e := c.log.Check(zap.DebugLevel, "call established"); e != nil {
+		e.Write(attempt.logFields(zap.Duration("took", c.Now()-attempt.SentAt))...)
+	}
 	c.Metrics.Answered.Inc()
 	c.stat(k).Answered.Inc()
 	c.Metrics.Established.Add(1)
@@ -441,6 +467,10 @@
 		return
 	}
 	c.detach(attempt)
+	if e := c.log.Check(zap.DebugLevel, "attempt ended"); e != nil {
+		e.Write(attempt.logFields(zap.Uint16("code", uint16(code)), zap.Uint32("note", note), zap.Int("cause", cause),
+			zap.Bool("established", k.established), zap.Duration("took", c.Now()-attempt.SentAt))...)
+	}
 	final := k.answered
 	if k.established {
 		c.endCall(k)
@@ -487,6 +517,9 @@
 	c.Metrics.Abandoned.Inc()
 	delete(c.calls, k.ref)
 	attempt := k.attempt
+	if e := c.log.Check(zap.DebugLevel, "abandoned by the caller"); e != nil {
+		e.Write(zap.String("call", k.ID), zap.Int("tries", k.attempts), zap.Bool("attempt pending", attempt != nil))
+	}
 	c.notify(tinbeam.Withdrawn{Ref: k.ref})
 	if attempt != nil {
 		c.detach(attempt)
@@ -603,7 +636,7 @@
 func (c *Core) Fail(k *Call) {
 	if !k.answered {
 		c.Metrics.LateAnswers.Inc()
-		c.refuse(k, true, 0)
+		c.refuse(k, true, 0, failedByDeadline)
 		c.notify(tinbeam.Withdrawn{Ref: k.ref})
 	}
 }
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -31,7 +31,8 @@
 	failPendingDelay      = 550 * time.Millisecond // after the longest deadline: calls still pending are failed
 	closeDelay            = 570 * time.Millisecond // after the longest deadline: the connections are closed
 	flushDelay            = 50 * time.Millisecond  // from then to the end of the agent; the last messages must reach the kernel
-	openCallsPollInterval = 20 * time.Millisecond  // how often it is checked whether calls are still open
+	runtimeGaugeInterval  = time.Second
+	openCallsPollInterval = 20 * time.Millisecond // how often it is checked whether calls are still open
 )
 
 // The schedules for draining callers. When operators drain, callers have no other agent to connect to until the front end of
@@ -155,11 +156,18 @@
 	}
 	partReady()
 	a.loop.After(readyTimeout, a.acceptCallers)
+	a.updateRuntimeGauges()
 	if !a.listener.Inherited() {
 		a.listener.Serve() // health checks wait until the agent is ready; on an inherited socket another process may answer them
 	}
 }
 
+// updateRuntimeGauges updates the gauges on the Go runtime, now and then periodically.
+func (a *App) updateRuntimeGauges() {
+	a.Metrics.UpdateRuntime()
+	a.loop.After(runtimeGaugeInterval, a.updateRuntimeGauges)
+}
+
 // acceptCallers starts to accept callers.
 func (a *App) acceptCallers() {
 	a.callers.SetReady()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,6 +48,7 @@
 	PluginCalls, PluginRefusals, PluginFailures                     *Counter
 	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts         *Counter
 	PushesOK, PushesFailed                                          *Counter
+	MemoryInUse, Goroutines                                         *Counter
 
 	all     []*Counter
 	mu      sync.Mutex
@@ -139,6 +140,8 @@
 	add(&s.MGCPReplayed, "mgcp_replayed_total", "MGCP commands answered from the response cache")
 	add(&s.MGCPRestarts, "mgcp_restarts_total", "RSIP messages from gateways")
 	add(&s.PushesOK, "remote_writes_total", "remote writes accepted")
+	gauge(&s.MemoryInUse, "memory_bytes", "memory that the Go runtime holds from the system now")
+	gauge(&s.Goroutines, "goroutines", "goroutines now")
 	add(&s.PushesFailed, "remote_writes_failed_total", "remote writes that failed")
 	return s
 }
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -521,7 +521,9 @@
 	for _, h := range head.Headers {
 		leg.size += len(h.Name) + len(h.Value)
 	}
-	if s.stopping || s.drainRefusing || c.pending >= maxPendingPerConn || s.legBytes+leg.size > s.maxBytes {
+	if reason := s.reasonToRefuse(c, leg); reason != "" {
+		s.log.Debug("set-up refused on arrival", zap.String("call", id), zap.Uint64("connection", c.number),
+			zap.String("reason", reason))
 		s.core.Metrics.RateLimited.Inc()
 		s.core.CountRefused(k)
 		c.send(m.Response(503, "Service Unavailable", ""))
@@ -539,6 +541,21 @@
 	s.core.Offer(k)
 }
 
+// reasonToRefuse says why a set-up cannot be offered to the core; "" if it can.
+func (s *Callers) reasonToRefuse(c *callerConn, leg *callLeg) string {
+	switch {
+	case s.stopping:
+		return "the agent is shutting down"
+	case s.drainRefusing:
+		return "callers are drained"
+	case c.pending >= maxPendingPerConn:
+		return "too many set-ups pending on the connection"
+	case s.legBytes+leg.size > s.maxBytes:
+		return "memory for set-ups is used up"
+	}
+	return ""
+}
+
 // validCallID reports whether an id has the form that this protocol uses: 16 hex digits.
 func validCallID(id string) bool {
 	_, err := strconv.ParseUint(id, 16, 64)
--- a/internal/platform/changelog_client.go
+++ b/internal/platform/changelog_client.go
@@ -64,6 +64,7 @@
 
 func (cl *ChangeLogClient) apply(e changelog.Event, kind tinbeam.ListKind) {
 	cl.seq = e.Seq
+	cl.log.Debug("change log: event applied", zap.Uint64("event", e.Seq), zap.Int("entries", len(e.Entries)))
 	cl.core.Metrics.ListEvents.Inc()
 	cl.farEnds.ApplyList(e.Seq, kind, e.Entries)
 }
@@ -103,6 +104,7 @@
 	}
 	switch {
 	case err != nil:
+		cl.log.Debug("change log: dial failed", zap.String("addr", cl.addr), zap.Error(err))
 		cl.core.Metrics.DialsFailed.Inc()
 	case !current:
 		l.Close() // it leads to the change log's previous address
@@ -112,6 +114,7 @@
 	default:
 		c.link, cl.conn, cl.lastFrameAt = l, c, cl.core.Now()
 		cl.core.Metrics.ListReconnects.Inc()
+		cl.log.Info("change log: connected", zap.String("addr", cl.addr), zap.Uint64("last event", cl.seq))
 		l.Send(changelog.ResumeRequest(cl.seq), nil)
 	}
 }
@@ -160,6 +163,8 @@
 	c.client.core.PostNonBlocking(func() {
 		c.closed = true
 		if c.client.conn == c {
+			c.client.log.Info("change log: connection lost", zap.Uint64("last event", c.client.seq),
+				zap.Duration("quiet", c.client.core.Now()-c.client.lastFrameAt))
 			c.client.conn = nil
 			c.client.dial()
 		}
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -371,6 +371,7 @@
 func (x *farEnd) dialFailed(refused bool) {
 	core := x.farEnds.core
 	core.Metrics.DialsFailed.Inc()
+	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
 	if len(x.conns) > 0 {
@@ -417,6 +418,8 @@
 	}
 	x.conns = append(x.conns, c)
 	x.lastReceivedAt, x.checkPending = core.Now(), false
+	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
+		zap.Int("set-ups waiting", len(x.waiting)))
 	core.Metrics.LinksUp.Inc()
 	for _, m := range x.queuedReleases {
 		l.Send(m, nil)
@@ -573,6 +576,8 @@
 	for _, c := range slices.Clone(x.conns) {
 		if c.stalled(core.Now()) {
 			core.Metrics.StalledLinks.Inc()
+			x.farEnds.log.Info("stalled connection to far end closed", zap.String("far", x.addr), zap.Int("set-ups", c.pending),
+				zap.Int("missed states", c.missedStates))
 			c.link.Close()
 		}
 	}
