--- /dev/null
+++ b/internal/faultrig/checker_test.go
@@ -0,0 +1,96 @@
+package faultrig
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func at(t time.Duration, e Event) Event {
+	e.At = t
+	return e
+}
+
+// setUp returns the records of a set-up that is written and arrives at a far end.
+func setUp(t time.Duration, farEnd string, connection uint64) []Event {
+	return []Event{at(t, Event{Kind: SetUpWritten, Call: "c", FarEnd: farEnd, Connection: connection, Agent: "n"}),
+		at(t+2*ms, Event{Kind: SetUpArrived, Call: "c", FarEnd: farEnd, Connection: connection})}
+}
+
+// The checker itself must not miss a broken rule, or every run of the rig would pass: each rule has records that break it and
+// records just within it.
+func TestCheck(t *testing.T) {
+	end := at(30*time.Second, Event{Kind: FaultInjected})
+	taken := at(ms, Event{Kind: RequestTaken, Call: "c", Agent: "n", Deadline: time.Second})
+	answer := func(t time.Duration) Event {
+		return at(t, Event{Kind: FinalAnswer, Call: "c", Agent: "n", Value: statusOK, Note: "d"})
+	}
+	described := at(10*ms, Event{Kind: DescribedBy, Call: "c", Note: "d"})
+	callEnded := at(2*time.Second, Event{Kind: CallEnded, Call: "c", FarEnd: "f", Note: "d"})
+	released := at(2*time.Second+ms, Event{Kind: FarReleased, Call: "c", FarEnd: "f"})
+	heard := func(t time.Duration) Event { return at(t, Event{Kind: ReleaseHeard, Call: "c"}) }
+	drained := at(time.Second, Event{Kind: ListChanged, FarEnd: "f", Value: 41, Note: stateDraining})
+	told := func(t time.Duration) Event { return at(t, Event{Kind: ListDelivered, Agent: "n", Value: 41}) }
+	written := func(t time.Duration) Event {
+		return at(t, Event{Kind: SetUpWritten, Call: "c", FarEnd: "f", Agent: "n", Connection: 1})
+	}
+	discoveryDown := at(900*ms, Event{Kind: DiscoveryDown, Agent: "n"})
+	discoveryUp := at(1500*ms, Event{Kind: DiscoveryUp, Agent: "n"})
+	gaveUp := func(t time.Duration, connection uint64) Event {
+		return at(t, Event{Kind: AttemptGivenUp, Call: "c", FarEnd: "f", Connection: connection})
+	}
+	for _, c := range []struct {
+		name   string
+		rule   Rule
+		broken bool
+		events []Event
+	}{
+		{"second attempt while the first is out", OneAttempt, true, append(setUp(ms, "f", 1), setUp(10*ms, "g", 2)...)},
+		{"second attempt after a release by the agent", OneAttempt, false,
+			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(9*ms, anyConnection)}, setUp(10*ms, "g", 2))},
+		{"first attempt arrives after it was given up", OneAttempt, false,
+			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(2*ms, 1)}, setUp(3*ms, "g", 2))},
+		{"release of another connection", OneAttempt, true,
+			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(9*ms, 3)}, setUp(10*ms, "g", 2))},
+		{"no answer", OneFinal, true, []Event{taken, end}},
+		{"answer in time", OneFinal, false, []Event{taken, described, answer(900 * ms), end}},
+		{"answer late but not lost", OneFinal, false, []Event{taken, described, answer(1549 * ms), end}},
+		{"answer too late", OneFinal, true, []Event{taken, described, answer(1551 * ms), end}},
+		{"two answers", OneFinal, true, []Event{taken, described, answer(20 * ms), answer(30 * ms)}},
+		{"connection ended", OneFinal, true, []Event{taken, at(20*ms, Event{Kind: ConnectionEnded, Call: "c"})}},
+		{"crash of the machine", OneFinal, false, []Event{taken, at(20*ms, Event{Kind: SignalSent, Agent: "n", Note: signalCrash}), end}},
+		{"killed at the end of a shutdown", OneFinal, true, []Event{taken, at(20*ms, Event{Kind: SignalSent, Agent: "n", Note: signalKill}), end}},
+		{"unknown description", KnownAnswer, true, []Event{taken, answer(20 * ms)}},
+		{"release in time", ReleaseInTime, false, []Event{taken, described, answer(20 * ms), callEnded, released, heard(3050 * ms), end}},
+		{"release too late", ReleaseInTime, true, []Event{taken, described, answer(20 * ms), callEnded, released, heard(3052 * ms), end}},
+		{"release that could not be sent", ReleaseInTime, false, []Event{taken, described, answer(20 * ms), callEnded, heard(10049 * ms), end}},
+		{"call left standing", ReleaseInTime, true, []Event{taken, described, answer(20 * ms), callEnded, end}},
+		{"set-up after the grace", DrainedFarEnd, true, []Event{drained, told(1010 * ms), written(1311 * ms)}},
+		{"set-up within the grace", DrainedFarEnd, false, []Event{drained, told(1010 * ms), written(1309 * ms)}},
+		{"told after an outage", DrainedFarEnd, true, []Event{discoveryDown, drained, discoveryUp, written(7801 * ms)}},
+		{"not yet told after an outage", DrainedFarEnd, false, []Event{discoveryDown, drained, discoveryUp, written(7799 * ms)}},
+		{"memory", MemoryLimit, true, []Event{at(ms, Event{Kind: ResourceUse, Agent: "n", Value: 101})}},
+		{"descriptors", DescriptorsMax, true, []Event{at(ms, Event{Kind: ResourceUse, Agent: "n", Descriptors: 11})}},
+		{"crash", ProcessAlive, true, []Event{at(ms, Event{Kind: ProcessStarted, Agent: "n"}), at(2*ms, Event{Kind: ProcessEnded, Agent: "n"})}},
+		{"ended as told", ProcessAlive, false, []Event{at(ms, Event{Kind: SignalSent, Agent: "n", Note: signalTerminate}), at(2*ms, Event{Kind: ProcessEnded, Agent: "n"})}},
+		{"crash after a reload", ProcessAlive, true, []Event{at(ms, Event{Kind: SignalSent, Agent: "n", Note: signalReload}), at(2*ms, Event{Kind: ProcessEnded, Agent: "n"})}},
+	} {
+		violations := Check(c.events, Limits{MemoryBytes: 100, Descriptors: 10, DrainGrace: 250 * ms})
+		got := slices.ContainsFunc(violations, func(v Violation) bool { return v.Rule == c.rule })
+		if got != c.broken {
+			t.Errorf("%s: reported %v, want %v: %+v", c.name, got, c.broken, violations)
+		}
+	}
+}
+
+// A seed that gave another plan the next time could not be used to repeat a failure.
+func TestPlanIsRepeatable(t *testing.T) {
+	for seed := range uint64(20) {
+		a, b := NewPlan(seed), NewPlan(seed)
+		if len(a.Steps) == 0 || !slices.Equal(a.Steps, b.Steps) || a.Duration != b.Duration || a.Traffic != b.Traffic {
+			t.Errorf("seed %d gives different plans", seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/faultrig/plan.go
@@ -0,0 +1,162 @@
+package faultrig
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Plan is all that a run is going to do, drawn from a seed.
+type Plan struct {
+	Seed       uint64
+	Duration   time.Duration // of the traffic
+	Agents     int
+	FarEnds    int
+	MemoryMB   int
+	Sockets    int
+	Traffic    traffic
+	BadClients int
+	Steps      []Step
+}
+
+// StepKind names what a step does.
+type StepKind string
+
+// The kinds of step.
+const (
+	StepLinkFault   StepKind = "link fault"
+	StepResetLinks  StepKind = "reset links"
+	StepHang        StepKind = "hang"
+	StepDie         StepKind = "die"
+	StepErrors      StepKind = "errors"
+	StepFlood       StepKind = "flood"
+	StepDrain       StepKind = "drain"
+	StepSilentWatch StepKind = "discovery silent"
+	StepNoDiscovery StepKind = "discovery down"
+	StepReload      StepKind = "reload"
+	StepRestart     StepKind = "restart"
+	StepCrowd       StepKind = "crowd"
+)
+
+// Step is one trouble of a run.
+type Step struct {
+	At       time.Duration
+	Kind     StepKind
+	Target   int           // index of the agent or of the far end
+	Lasts    time.Duration // until it is lifted
+	Fault    linkFault     // of a link fault
+	Repeated int           // how often, for reloads
+}
+
+func (s Step) String() string {
+	return fmt.Sprintf("%v %s target %d for %v %+v x%d", s.At, s.Kind, s.Target, s.Lasts, s.Fault, s.Repeated)
+}
+
+// killAfterTerm is the page's earliest time from SIGTERM to SIGKILL: the longest deadline and 0.7 s.
+const killAfterTerm = 3700 * time.Millisecond
+
+// warmUp is the time before the first trouble.
+const warmUp = 1500 * time.Millisecond
+
+// draw helps to draw a plan.
+type draw struct{ *rand.Rand }
+
+func (d draw) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(d.Int64N(int64(high-low)+1))
+}
+
+// NewPlan draws the plan of a run. The same seed gives the same plan.
+func NewPlan(seed uint64) Plan {
+	d := draw{rand.New(rand.NewPCG(seed, 0x51ed))}
+	plan := Plan{Seed: seed, Duration: d.between(9*time.Second, 13*time.Second), Agents: 2, FarEnds: 3 + d.IntN(3),
+		MemoryMB: []int{48, 64, 192}[d.IntN(3)], Sockets: []int{256, 512, 1024}[d.IntN(3)], BadClients: d.IntN(4),
+		Traffic: traffic{Callers: 6 + d.IntN(10), Interval: d.between(100*time.Millisecond, 400*time.Millisecond),
+			ShareGivenUp: 0.08 * d.Float64(), ShareDropped: 0.03 * d.Float64(), ShareSplit: 0.3 * d.Float64(),
+			ShareHangups: 0.2, BodySize: 300}}
+	plan.Traffic.Destinations = plan.FarEnds
+	plan.addLinkFaults(d)
+	plan.addFarEndFaults(d)
+	plan.addDiscoveryFaults(d)
+	plan.addSignals(d)
+	if d.Float64() < 0.3 {
+		plan.add(d, Step{Kind: StepCrowd, Target: d.IntN(plan.Agents), Lasts: d.between(time.Second, 3*time.Second)})
+	}
+	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// add adds a step. Without a time it gets one between the warm-up and the end of the traffic.
+func (p *Plan) add(d draw, s Step) {
+	if s.At == 0 {
+		s.At = d.between(warmUp, p.Duration-time.Second)
+	}
+	p.Steps = append(p.Steps, s)
+}
+
+func (p *Plan) addLinkFaults(d draw) {
+	ms := time.Millisecond
+	faults := []func() linkFault{
+		func() linkFault { return linkFault{OpenLate: d.between(50*ms, 1000*ms)} },
+		func() linkFault { return linkFault{CloseEarly: true} },
+		func() linkFault { return linkFault{Silent: true} },
+		func() linkFault { return linkFault{ResetStarted: d.between(ms, 40*ms)} },
+		func() linkFault {
+			return linkFault{ResetStarted: d.between(ms, 40*ms), OpenLate: d.between(200*ms, 500*ms)}
+		},
+		func() linkFault { return linkFault{Split: d.between(ms, 60*ms)} },
+		func() linkFault { return linkFault{Doubled: d.between(ms, 40*ms)} },
+		func() linkFault { return linkFault{Spoilt: 0.1 + 0.4*d.Float64()} },
+		func() linkFault { return linkFault{Delayed: d.between(10*ms, 400*ms)} },
+		func() linkFault {
+			return linkFault{Spoilt: 0.2, Doubled: 20 * ms, OpenLate: 300 * ms}
+		},
+	}
+	for range 3 + d.IntN(6) {
+		p.add(d, Step{Kind: StepLinkFault, Target: d.IntN(p.FarEnds), Lasts: d.between(300*ms, 2500*ms), Fault: faults[d.IntN(len(faults))]()})
+	}
+	for range d.IntN(6) {
+		p.add(d, Step{Kind: StepResetLinks, Target: d.IntN(p.FarEnds)})
+	}
+}
+
+func (p *Plan) addFarEndFaults(d draw) {
+	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood}
+	for range 1 + d.IntN(4) {
+		p.add(d, Step{Kind: kinds[d.IntN(len(kinds))], Target: d.IntN(p.FarEnds), Lasts: d.between(400*time.Millisecond, 3*time.Second)})
+	}
+}
+
+// addDiscoveryFaults adds an outage of discovery with a drain close to its end, and new configurations.
+func (p *Plan) addDiscoveryFaults(d draw) {
+	agent := d.IntN(p.Agents)
+	if kind := d.IntN(4); kind < 2 {
+		outage := Step{At: d.between(warmUp, p.Duration/2), Kind: []StepKind{StepSilentWatch, StepNoDiscovery}[kind], Target: agent,
+			Lasts: d.between(500*time.Millisecond, 4*time.Second)}
+		p.add(d, outage)
+		p.add(d, Step{At: outage.At + outage.Lasts - d.between(0, 400*time.Millisecond), Kind: StepDrain, Target: d.IntN(p.FarEnds),
+			Lasts: d.between(500*time.Millisecond, 2*time.Second)})
+	}
+	for range d.IntN(3) {
+		p.add(d, Step{Kind: StepReload, Target: d.IntN(p.Agents), Repeated: 1 + d.IntN(8)})
+	}
+}
+
+// addSignals adds shutdowns one after another, some while far ends hang, and some right behind new configurations.
+func (p *Plan) addSignals(d draw) {
+	if d.Float64() < 0.25 {
+		return
+	}
+	at := d.between(warmUp, 3*time.Second)
+	if d.Float64() < 0.5 {
+		p.add(d, Step{At: at - 300*time.Millisecond, Kind: StepHang, Target: d.IntN(p.FarEnds), Lasts: 5 * time.Second})
+	}
+	for agent := range p.Agents {
+		if d.Float64() < 0.3 {
+			p.add(d, Step{At: at, Kind: StepReload, Target: agent, Repeated: 12})
+		}
+		p.add(d, Step{At: at, Kind: StepRestart, Target: agent})
+		at += d.between(300*time.Millisecond, 4500*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/faultrig/proxy.go
@@ -0,0 +1,333 @@
+package faultrig
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"tinbeam/internal/farend"
+)
+
+// linkFault is what a proxy does to the connections that it carries.
+type linkFault struct {
+	OpenLate     time.Duration // a new connection is served only after this
+	CloseEarly   bool          // a new connection is closed or reset at once
+	Silent       bool          // nothing is passed on, on old and new connections
+	ResetStarted time.Duration // a connection is reset this long after a set-up was passed on; 0: never
+	Split        time.Duration // answers are passed on in pieces, with this pause between them
+	Doubled      time.Duration // each answer is passed on again after at most this
+	Spoilt       float64       // share of the answers that are spoilt
+	Delayed      time.Duration // answers are passed on late, by at most this
+}
+
+// proxy carries the connections from agents to one far end and injects faults into them.
+type proxy struct {
+	farEnd   *farEnd
+	recorder *Recorder
+	port     int
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	rng      *rand.Rand
+	listener net.Listener
+	fault    linkFault
+	links    []*proxyLink
+}
+
+// proxyLink is one connection through a proxy.
+type proxyLink struct {
+	id            uint64
+	proxy         *proxy
+	agent, farEnd net.Conn
+	launched      map[string]bool // calls with a set-up on it
+	closed        bool
+}
+
+// acceptBacklog is the length of the queue of a proxy's listening socket. While the proxy does not accept, connections beyond it
+// never come up.
+const acceptBacklog = 1
+
+// newProxy starts a proxy on a free port of the loopback interface.
+func newProxy(f *farEnd, seed uint64, recorder *Recorder) (*proxy, error) {
+	p := &proxy{farEnd: f, recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0x9c))}
+	p.changed = sync.NewCond(&p.mu)
+	return p, p.listen()
+}
+
+// listen opens the proxy's socket, at its earlier port if it had one.
+func (p *proxy) listen() error {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p.port))
+	if err != nil {
+		return err
+	}
+	if raw, err := ln.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), acceptBacklog) })
+	}
+	p.mu.Lock()
+	p.listener, p.port = ln, ln.Addr().(*net.TCPAddr).Port
+	p.mu.Unlock()
+	go p.accept(ln)
+	return nil
+}
+
+func (p *proxy) addr() string { return fmt.Sprintf("127.0.0.1:%d", p.port) }
+
+func (p *proxy) accept(ln net.Listener) {
+	for {
+		p.mu.Lock()
+		for p.fault.Silent { // connections beyond the backlog do not come up
+			p.changed.Wait()
+		}
+		p.mu.Unlock()
+		c, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+// setFault replaces the present fault.
+func (p *proxy) setFault(fault linkFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = fault
+	p.changed.Broadcast()
+}
+
+func (p *proxy) currentFault() linkFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+// waitWhileSilent blocks while nothing may pass.
+func (p *proxy) waitWhileSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.fault.Silent {
+		p.changed.Wait()
+	}
+}
+
+// resetAll resets all connections.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	links := slices.Clone(p.links)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.reset()
+	}
+}
+
+// stop closes the socket and resets all connections: from now on new ones are refused.
+func (p *proxy) stop() {
+	p.mu.Lock()
+	ln := p.listener
+	p.mu.Unlock()
+	_ = ln.Close()
+	p.resetAll()
+}
+
+// serve carries one connection.
+func (p *proxy) serve(agent net.Conn) {
+	fault := p.currentFault()
+	if fault.CloseEarly {
+		p.closeEarly(agent)
+		return
+	}
+	time.Sleep(fault.OpenLate)
+	p.waitWhileSilent()
+	farSide, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", p.farEnd.addr())
+	if err != nil {
+		resetConn(agent)
+		return
+	}
+	l := &proxyLink{id: p.recorder.NextID(), proxy: p, agent: agent, farEnd: farSide, launched: map[string]bool{}}
+	_, _ = fmt.Fprintf(farSide, "%d\n", l.id)
+	p.mu.Lock()
+	p.links = append(p.links, l)
+	p.mu.Unlock()
+	go l.carryAnswers()
+	l.carryRequests()
+}
+
+func (p *proxy) closeEarly(c net.Conn) {
+	p.mu.Lock()
+	reset := p.rng.IntN(2) == 0
+	p.mu.Unlock()
+	if reset {
+		resetConn(c)
+		return
+	}
+	_ = c.Close()
+}
+
+// reset resets both sides of the connection.
+func (l *proxyLink) reset() { l.end(true) }
+
+// end closes both sides, and takes the connection off the proxy's list.
+func (l *proxyLink) end(reset bool) {
+	p := l.proxy
+	p.mu.Lock()
+	if l.closed {
+		p.mu.Unlock()
+		return
+	}
+	l.closed = true
+	p.links = slices.DeleteFunc(p.links, func(o *proxyLink) bool { return o == l })
+	p.mu.Unlock()
+	if reset {
+		resetConn(l.agent)
+		resetConn(l.farEnd)
+		return
+	}
+	_ = l.agent.Close()
+	_ = l.farEnd.Close()
+}
+
+// carryRequests passes on what the agent sends. It reads also while nothing may pass, to record when the agent wrote or closed.
+func (l *proxyLink) carryRequests() {
+	lines := make(chan []byte, 1024)
+	go l.forward(lines)
+	in := bufio.NewReaderSize(l.agent, 64<<10)
+	for {
+		if _, err := in.ReadByte(); err != nil {
+			break
+		}
+		firstByteAt := l.proxy.recorder.Now()
+		_ = in.UnreadByte()
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			break
+		}
+		l.recordRequest(line, firstByteAt)
+		lines <- line
+	}
+	for call := range l.launched {
+		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: call, Connection: l.id, Note: "closed"})
+	}
+	close(lines)
+}
+
+func (l *proxyLink) recordRequest(line []byte, firstByteAt time.Duration) {
+	m, _, err := farend.Parse(line)
+	if err != nil || m == nil {
+		return
+	}
+	switch m.Kind {
+	case farend.Launch:
+		l.launched[m.UID] = true
+		l.proxy.recorder.Add(Event{At: firstByteAt, Kind: SetUpWritten, FarEnd: l.proxy.farEnd.id, Call: m.UID,
+			Connection: l.id, Agent: agentOfCall(m.Body)})
+	case farend.Stop:
+		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: anyConnection,
+			Note: "stop"})
+	}
+}
+
+// forward writes the agent's lines to the far end.
+func (l *proxyLink) forward(lines <-chan []byte) {
+	for line := range lines {
+		l.proxy.waitWhileSilent()
+		if _, err := l.farEnd.Write(line); err != nil {
+			break
+		}
+		fault := l.proxy.currentFault()
+		if fault.ResetStarted > 0 && bytes.Contains(line, []byte(`"launch"`)) {
+			time.AfterFunc(l.random(fault.ResetStarted), l.reset)
+		}
+	}
+	l.proxy.waitWhileSilent()
+	l.end(false)
+	for range lines { // the reader must not block
+	}
+}
+
+// random returns a random duration below limit.
+func (l *proxyLink) random(limit time.Duration) time.Duration {
+	l.proxy.mu.Lock()
+	defer l.proxy.mu.Unlock()
+	return time.Duration(l.proxy.rng.Int64N(int64(limit) + 1))
+}
+
+func (l *proxyLink) chance(share float64) bool {
+	l.proxy.mu.Lock()
+	defer l.proxy.mu.Unlock()
+	return l.proxy.rng.Float64() < share
+}
+
+// carryAnswers passes on what the far end sends, line by line.
+func (l *proxyLink) carryAnswers() {
+	in := bufio.NewReaderSize(l.farEnd, 64<<10)
+	write := func(b []byte) error {
+		_, err := l.agent.Write(b)
+		return err
+	}
+	var writes sync.Mutex // a line that is passed on in pieces must not be mixed with the copy of another
+	for {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			break
+		}
+		l.proxy.waitWhileSilent()
+		fault := l.proxy.currentFault()
+		time.Sleep(l.random(fault.Delayed))
+		if fault.Spoilt > 0 && l.chance(fault.Spoilt) {
+			_ = write(l.spoil(line))
+			break
+		}
+		writes.Lock()
+		err = write(l.splitOff(line, fault.Split, write))
+		writes.Unlock()
+		if err != nil {
+			break
+		}
+		l.recordRelease(line)
+		if fault.Doubled > 0 {
+			time.AfterFunc(l.random(fault.Doubled), func() {
+				writes.Lock()
+				defer writes.Unlock()
+				_ = write(line)
+			})
+		}
+	}
+	l.end(l.chance(0.5))
+}
+
+// splitOff writes the first half of a line, if answers are split, waits, and returns what is left to write.
+func (l *proxyLink) splitOff(line []byte, pause time.Duration, write func([]byte) error) []byte {
+	if pause <= 0 {
+		return line
+	}
+	middle := len(line) / 2
+	_ = write(line[:middle])
+	time.Sleep(l.random(pause))
+	return line[middle:]
+}
+
+// recordRelease records that a release was passed on to the agent.
+func (l *proxyLink) recordRelease(line []byte) {
+	if m, _, err := farend.Parse(line); err == nil && m != nil && m.Kind == farend.Stop {
+		l.proxy.recorder.Add(Event{Kind: FarReleased, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id})
+	}
+}
+
+// spoil returns a line that cannot be read: cut short, or with other bytes in it.
+func (l *proxyLink) spoil(line []byte) []byte {
+	out := slices.Clone(line[:len(line)/2])
+	if l.chance(0.5) {
+		return out
+	}
+	return append(out, "\xff\x00{}\n"...)
+}
--- /dev/null
+++ b/internal/faultrig/run.go
@@ -0,0 +1,421 @@
+// Package faultrig plays short, dense trials against the built program: real processes on the loopback interface, stand-ins for
+// far ends, callers and the change log, proxies that inject faults, and signals, all drawn from a seed. Check then judges the
+// records of all parties by the rules of the protocol.
+package faultrig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tinbeam/internal/sip"
+)
+
+const (
+	drainTime       = 4 * time.Second // from the end of the traffic until all calls should have been released
+	readyTimeout    = 10 * time.Second
+	newConnections  = 300 * time.Millisecond // after SIGTERM, the front still opens connections for this long
+	drainToGone     = 800 * time.Millisecond // from draining to gone in the list
+	reloadPause     = 2 * time.Millisecond   // between the new configurations of a series
+	crowdCallers    = 50
+	drainGrace      = 250 * time.Millisecond // as in settingsJSON
+	firstSequence   = 40
+	firstFarEnd     = 0xfa000001
+	initialListSeq  = firstSequence
+	setUpsOfACrowd  = 25 * time.Millisecond
+	crowdBodySize   = 14 << 10
+	frontTestPeriod = 50 * time.Millisecond
+)
+
+// Result is the outcome of a run.
+type Result struct {
+	Plan       Plan
+	Violations []Violation
+	Calls      int // set-ups that were taken
+	Answered   int // of them, those answered with success
+	Directory  string
+}
+
+// trial is a run under way.
+type trial struct {
+	plan     Plan
+	recorder *Recorder
+	farEnds  []*farEnd
+	proxies  []*proxy
+	log      *changeLog
+	listMu   sync.Mutex
+	list     []listing
+	agents   []*agentSite
+	steps    sync.WaitGroup
+}
+
+// agentSite is one agent with its callers and its servers of the change log.
+type agentSite struct {
+	process   *process
+	crowd     *crowd
+	servers   [2]*discovery
+	serverMu  sync.Mutex
+	server    int // index of the server that the configuration names
+	restartMu sync.Mutex
+}
+
+// Run plays the plan against the program at the path and writes configurations, logs and records below dir.
+func Run(plan Plan, binary, dir string) (*Result, error) {
+	dir = filepath.Join(dir, fmt.Sprintf("seed-%d", plan.Seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	t := &trial{plan: plan, recorder: NewRecorder()}
+	defer t.stop()
+	if err := t.startParties(binary, dir); err != nil {
+		return nil, err
+	}
+	t.play()
+	t.shutDown()
+	events := t.recorder.Events()
+	result := &Result{Plan: plan, Directory: dir,
+		Violations: Check(events, Limits{MemoryBytes: int64(plan.MemoryMB) << 20, Descriptors: plan.Sockets, DrainGrace: drainGrace})}
+	for _, e := range events {
+		if e.Kind == RequestTaken {
+			result.Calls++
+		} else if e.Kind == FinalAnswer && e.Value == statusOK {
+			result.Answered++
+		}
+	}
+	return result, writeEvents(filepath.Join(dir, "records.jsonl"), events)
+}
+
+// startParties starts the far ends, the change log and the agents, and waits until the agents are ready.
+func (t *trial) startParties(binary, dir string) error {
+	t.log = newChangeLog(initialListSeq, t.recorder)
+	for i := range t.plan.FarEnds {
+		id := uint32(firstFarEnd + i)
+		f, err := newFarEnd(fmt.Sprintf("s-%08x", id), t.plan.Seed+uint64(i), t.recorder)
+		if err != nil {
+			return err
+		}
+		p, err := newProxy(f, t.plan.Seed+uint64(i), t.recorder)
+		if err != nil {
+			return err
+		}
+		t.farEnds, t.proxies = append(t.farEnds, f), append(t.proxies, p)
+		t.list = append(t.list, listing{ID: id, Addr: netip.MustParseAddrPort(p.addr()), Exchange: i + 1, State: stateReady})
+	}
+	for i := range t.plan.Agents {
+		a, err := t.newAgent(i, binary, dir)
+		if err != nil {
+			return err
+		}
+		t.agents = append(t.agents, a)
+		if err := t.startAgent(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *trial) newAgent(i int, binary, dir string) (*agentSite, error) {
+	name := fmt.Sprintf("n%d", i)
+	a := &agentSite{}
+	for j := range a.servers {
+		d, err := newDiscovery(name, t.log)
+		if err != nil {
+			return nil, err
+		}
+		a.servers[j] = d
+	}
+	listen, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	a.process = &process{name: name, binary: binary, dir: dir, recorder: t.recorder, config: agentConfig{Name: name, Listen: listen,
+		Seed: fmt.Sprintf("%016x", t.plan.Seed), Limits: limits{Cores: 1, MemoryMB: t.plan.MemoryMB, Sockets: t.plan.Sockets},
+		Settings: []byte(settingsJSON)}}
+	a.crowd = newCrowd(name, listen, t.plan.Traffic, t.plan.Seed+uint64(i), t.recorder)
+	return a, nil
+}
+
+// freeAddress returns an address that nothing listens on at present.
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// startAgent starts an agent's process with the present list, and lets callers in once it has passed a test.
+func (t *trial) startAgent(a *agentSite) error {
+	t.listMu.Lock()
+	seq := t.log.present()
+	a.process.config.Known = knownList(seq, t.list)
+	t.listMu.Unlock()
+	a.serverMu.Lock()
+	a.process.config.Changelog = a.servers[a.server].addr()
+	a.serverMu.Unlock()
+	if err := a.process.start(); err != nil {
+		return err
+	}
+	t.recorder.Add(Event{Kind: ListDelivered, Agent: a.process.name, Value: int64(seq)})
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(frontTestPeriod) {
+		if passesTest(a.process.config.Listen) {
+			a.crowd.setAcceptsNew(true)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s was not ready after %v", a.process.name, readyTimeout)
+}
+
+// passesTest sends a test to an agent, as the front does, and reports whether it passes.
+func passesTest(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := c.Write(newRequest("OPTIONS", "0123456789abcdef").Append(nil)); err != nil {
+		return false
+	}
+	buf := make([]byte, 1024)
+	n, _ := c.Read(buf)
+	m, _, err := sip.Parse(buf[:n])
+	return err == nil && m != nil && m.Status == statusOK
+}
+
+// play plays the traffic and the steps of the plan.
+func (t *trial) play() {
+	var callers sync.WaitGroup
+	start := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	for i, a := range t.agents {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			a.crowd.run()
+		}()
+		for j := range t.plan.BadClients {
+			callers.Add(1)
+			go func() {
+				defer callers.Done()
+				rng := rand.New(rand.NewPCG(t.plan.Seed, uint64(i*10+j)))
+				badClient(a.process.config.Listen, rng, func() bool { return ctx.Err() != nil })
+			}()
+		}
+	}
+	for _, s := range t.plan.Steps {
+		time.Sleep(time.Until(start.Add(s.At)))
+		t.recorder.Add(Event{Kind: FaultInjected, Note: s.String()})
+		t.steps.Add(1)
+		go func() {
+			defer t.steps.Done()
+			t.do(s)
+		}()
+	}
+	time.Sleep(time.Until(start.Add(t.plan.Duration)))
+	t.steps.Wait()
+	cancel()
+	for _, a := range t.agents {
+		a.crowd.stop()
+	}
+	callers.Wait()
+}
+
+// do plays one step until it is lifted.
+func (t *trial) do(s Step) {
+	switch s.Kind {
+	case StepLinkFault:
+		t.proxies[s.Target].setFault(s.Fault)
+		time.Sleep(s.Lasts)
+		t.proxies[s.Target].setFault(linkFault{})
+	case StepResetLinks:
+		t.proxies[s.Target].resetAll()
+	case StepHang:
+		t.farEnds[s.Target].hang(s.Lasts)
+	case StepErrors:
+		t.farEnds[s.Target].failFor(s.Lasts)
+	case StepFlood:
+		t.farEnds[s.Target].flood(s.Lasts)
+	case StepDie:
+		t.replaceProcess(s.Target, s.Lasts/4)
+	case StepDrain:
+		t.drain(s.Target, s.Lasts)
+	case StepSilentWatch:
+		t.breakDiscovery(t.agents[s.Target], discoverySilent, s.Lasts)
+	case StepNoDiscovery:
+		t.breakDiscovery(t.agents[s.Target], discoveryDown, s.Lasts)
+	case StepReload:
+		t.reload(t.agents[s.Target], s.Repeated)
+	case StepRestart:
+		t.restart(t.agents[s.Target])
+	case StepCrowd:
+		t.crowd(t.agents[s.Target], s.Lasts)
+	}
+}
+
+// setState changes the state of a far end in the list. It reports false if the far end is in that state already.
+func (t *trial) setState(i int, from []string, state string) bool {
+	t.listMu.Lock()
+	defer t.listMu.Unlock()
+	l := &t.list[i]
+	if !slices.Contains(from, l.State) {
+		return false
+	}
+	l.State = state
+	if state == stateReady {
+		l.StartedAtMs = time.Now().UnixMilli()
+	}
+	t.log.add(*l)
+	return true
+}
+
+// drain takes a far end out of the list in two steps, and brings it back as a new process.
+func (t *trial) drain(i int, lasts time.Duration) {
+	if !t.setState(i, []string{stateReady}, stateDraining) {
+		return
+	}
+	time.Sleep(max(lasts/2, drainToGone))
+	t.setState(i, []string{stateDraining}, stateGone)
+	time.Sleep(lasts / 2)
+	t.proxies[i].stop()
+	t.farEnds[i].die()
+	if t.listenAgain(i) {
+		t.setState(i, []string{stateGone}, stateReady)
+	}
+}
+
+// replaceProcess kills a far end's process, and starts another after a while.
+func (t *trial) replaceProcess(i int, after time.Duration) {
+	t.proxies[i].stop()
+	t.farEnds[i].die()
+	time.Sleep(after)
+	if t.listenAgain(i) {
+		t.setState(i, []string{stateReady}, stateReady)
+	}
+}
+
+func (t *trial) listenAgain(i int) bool {
+	err := t.proxies[i].listen()
+	if err != nil {
+		t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
+	}
+	return err == nil
+}
+
+func (t *trial) breakDiscovery(a *agentSite, mode discoveryMode, lasts time.Duration) {
+	a.serverMu.Lock()
+	defer a.serverMu.Unlock() // no new configuration meanwhile
+	server := a.servers[a.server]
+	if err := server.setMode(mode); err == nil {
+		time.Sleep(lasts)
+		err = server.setMode(discoveryServes)
+		if err != nil {
+			t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
+		}
+	}
+}
+
+// reload brings new configurations in quick succession, each of which moves discovery to the other server.
+func (t *trial) reload(a *agentSite, times int) {
+	a.restartMu.Lock()
+	defer a.restartMu.Unlock()
+	for range times {
+		if a.serverMu.TryLock() {
+			a.server = 1 - a.server
+			a.process.config.Changelog = a.servers[a.server].addr()
+			a.serverMu.Unlock()
+		}
+		if err := a.process.writeConfig(); err != nil {
+			t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
+		}
+		a.process.signal(syscall.SIGHUP, signalReload)
+		time.Sleep(reloadPause)
+	}
+}
+
+// restart shuts an agent down and starts it again. Callers go on using their connections until the process is killed, at the
+// earliest time that the protocol allows.
+func (t *trial) restart(a *agentSite) {
+	a.restartMu.Lock()
+	defer a.restartMu.Unlock()
+	a.process.signal(syscall.SIGTERM, signalTerminate)
+	terminated := time.Now()
+	time.Sleep(newConnections)
+	a.crowd.setAcceptsNew(false)
+	if !a.process.waitEnded(time.Until(terminated.Add(killAfterTerm))) {
+		a.process.signal(syscall.SIGKILL, signalKill)
+		a.process.waitEnded(time.Second)
+	}
+	if err := t.startAgent(a); err != nil {
+		t.recorder.Add(Event{Kind: ProcessEnded, Agent: a.process.name, Value: 1, Note: err.Error()})
+	}
+}
+
+// crowd plays many more callers with large set-ups for a while.
+func (t *trial) crowd(a *agentSite, lasts time.Duration) {
+	plan := t.plan.Traffic
+	plan.Callers, plan.Interval, plan.BodySize = min(crowdCallers, t.plan.Sockets/6), setUpsOfACrowd, crowdBodySize
+	more := newCrowd(a.process.name, a.process.config.Listen, plan, t.plan.Seed^0xc0ffee, t.recorder)
+	more.setAcceptsNew(true)
+	time.AfterFunc(lasts, more.stop)
+	more.run()
+}
+
+// shutDown ends all agents in an orderly way.
+func (t *trial) shutDown() {
+	for _, a := range t.agents {
+		a.process.signal(syscall.SIGTERM, signalTerminate)
+	}
+	for _, a := range t.agents {
+		if !a.process.waitEnded(killAfterTerm) {
+			a.process.signal(syscall.SIGKILL, signalKill)
+			a.process.waitEnded(time.Second)
+		}
+	}
+}
+
+// stop ends all parties.
+func (t *trial) stop() {
+	for _, a := range t.agents {
+		a.process.signal(syscall.SIGKILL, signalKill)
+		for _, d := range a.servers {
+			d.close()
+		}
+	}
+	for i, p := range t.proxies {
+		p.setFault(linkFault{})
+		p.stop()
+		t.farEnds[i].die()
+		_ = t.farEnds[i].listener.Close()
+	}
+}
+
+// Report describes the result of a run: a line for each rule broken, with the records of the first violation of each.
+func (r *Result) Report() string {
+	var out strings.Builder
+	fmt.Fprintf(&out, "seed %d: %d calls, %d answered, %d violations, records in %s\n",
+		r.Plan.Seed, r.Calls, r.Answered, len(r.Violations), r.Directory)
+	shown := map[Rule]bool{}
+	for _, v := range r.Violations {
+		fmt.Fprintf(&out, "  %s: call %s: %s\n", v.Rule, v.Call, v.Text)
+		if shown[v.Rule] {
+			continue
+		}
+		shown[v.Rule] = true
+		for _, e := range v.Records {
+			fmt.Fprintf(&out, "    %8.3f %-16s agent=%s far=%s conn=%d value=%d deadline=%.3f %q\n",
+				e.At.Seconds(), e.Kind, e.Agent, e.FarEnd, e.Connection, e.Value, e.Deadline.Seconds(), e.Note)
+		}
+	}
+	return out.String()
+}
--- a/internal/mgcp/transaction.go
+++ b/internal/mgcp/transaction.go
@@ -130,14 +130,6 @@
 	x.timer = t.loop.After(responseTTL, func() { t.retransmit(x) })
 }
 
-// drop ends a transaction without calling onResponse. A response that arrives later counts as stray.
-func (t *transactions) drop(x *transaction) {
-	if x != nil {
-		x.onResponse = nil
-		t.finish(x, nil)
-	}
-}
-
 // handleDatagram parses a received datagram and handles the messages in it.
 func (t *transactions) handleDatagram(from netip.AddrPort, b []byte) {
 	list, err := Parse(b)
