--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -324,3 +324,46 @@
 		t.Errorf("%d calls open at the front end, %d in the core", s.OpenCalls(), s.core.OpenCalls())
 	}
 }
+
+// refusesOther is a far-end side: when one of its set-ups is cancelled, the core refuses the other calls, as the decision module
+// may do with any event.
+type refusesOther struct {
+	unresponsive
+	core *agent.Core
+}
+
+func (r refusesOther) Cancel(*agent.Attempt) { r.core.FailPending() }
+
+// Guards against a crash: abandoning one set-up of a closed connection, or failing one at the end of a drain, makes the core end
+// others on the same connection, whose state is then gone.
+func TestClosedConnectionWithSetUpsThatEndEachOther(t *testing.T) {
+	closeConnection := func(_ *Callers, c *callerConn) { c.tearDown() }
+	endDrain := func(s *Callers, c *callerConn) {
+		s.Drain(&DrainSchedule{EndAfter: time.Nanosecond})
+		for len(s.legs) > 0 {
+			s.core.Step()
+		}
+	}
+	for name, end := range map[string]func(*Callers, *callerConn){"close": closeConnection, "drain": endDrain} {
+		t.Run(name, func(t *testing.T) {
+			s := newCallers()
+			s.core.UpdateFarEnds(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready}},
+				refusesOther{core: s.core})
+			listen(t, s)()
+			for len(s.conns) == 0 {
+				s.core.Step()
+			}
+			c := s.conns[0]
+			for i := range 3 {
+				c.handleMessage(newInvite(fmt.Sprintf("9b1f03aa5c7e2d4%d", i), "check", "1500", "dest:1", "v=0"))
+			}
+			if s.core.PendingCalls() != 3 {
+				t.Fatalf("%d calls pending, want 3", s.core.PendingCalls())
+			}
+			end(s, c)
+			if len(s.legs) != 0 || s.core.PendingCalls() != 0 {
+				t.Errorf("%d call legs, %d calls pending", len(s.legs), s.core.PendingCalls())
+			}
+		})
+	}
+}
