Callers: a closed connection whose set-ups end each other no longer crashes the agent

Class: iteration over shared state across re-entrant calls. MGCP marks each leg as ended before it calls the core, so it is not concerned.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strconv"
@@ -154,10 +155,8 @@
 	after(schedule.RefuseAfter, func() { s.drainRefusing = true })
 	after(schedule.EndAfter, func() {
 		for _, c := range slices.Clone(s.conns) {
-			for _, id := range slices.Sorted(maps.Keys(c.legs)) {
-				if leg := c.legs[id]; leg.pending {
-					s.core.Fail(leg.call)
-				}
+			for _, leg := range c.pendingLegs() {
+				s.core.Fail(leg.call)
 			}
 		}
 		s.closeIdle()
@@ -268,19 +267,40 @@
 	c.closed = true
 	s.conns = slices.DeleteFunc(s.conns, func(o *callerConn) bool { return o == c })
 	s.core.Metrics.CallerConnections.Set(int64(len(s.conns)))
-	for _, id := range slices.Sorted(maps.Keys(c.legs)) {
-		if leg := c.legs[id]; leg.pending { // an established call belongs to no connection
-			s.removeLeg(id)
-			s.core.Abandoned(leg.call)
-		}
+	for _, leg := range c.pendingLegs() { // an established call belongs to no connection
+		s.removeLeg(leg.call.ID)
+		s.core.Abandoned(leg.call)
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
-		if leg := s.byes[id]; leg.byeConn == c { // not confirmed: the caller may not have received it
+	for _, leg := range s.unconfirmedReleases() {
+		if leg.byeConn == c { // not confirmed: the caller may not have received it
 			s.sendBye(leg)
 		}
 	}
 }
 
+// pendingLegs yields the connection's calls without a final answer, in the order of their IDs. Handling one of them may end
+// others, which are then left out.
+func (c *callerConn) pendingLegs() iter.Seq2[string, *callLeg] {
+	return snapshot(c.legs, func(leg *callLeg) bool { return leg.pending })
+}
+
+// unconfirmedReleases yields the calls whose release no caller has confirmed, in the order of their IDs.
+func (s *Callers) unconfirmedReleases() iter.Seq2[string, *callLeg] {
+	return snapshot(s.byes, func(*callLeg) bool { return true })
+}
+
+// snapshot yields the legs that are in the map now, are still in it when their turn comes, and then meet the condition. Any call
+// of the core may end other calls, so a leg that was in the map before the call need not be in it after it.
+func snapshot(legs map[string]*callLeg, condition func(*callLeg) bool) iter.Seq2[string, *callLeg] {
+	return func(yield func(string, *callLeg) bool) {
+		for _, id := range slices.Sorted(maps.Keys(legs)) {
+			if leg := legs[id]; leg != nil && condition(leg) && !yield(id, leg) {
+				return
+			}
+		}
+	}
+}
+
 // SetReady records that the agent can accept calls: from now on health checks pass.
 func (s *Callers) SetReady() {
 	s.ready = true
@@ -723,8 +743,7 @@
 // resendByes resends the releases that may not have reached the callers: the connection that they were sent on has closed, or
 // is not known to be a caller's, and they are not confirmed.
 func (s *Callers) resendByes() {
-	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
-		leg := s.byes[id]
+	for _, leg := range s.unconfirmedReleases() {
 		if c := leg.byeConn; c == nil || c.closed || c != leg.conn && c.rank() < rankACKed {
 			s.sendBye(leg)
 		}
@@ -733,8 +752,8 @@
 
 // sweep drops releases that were not confirmed in time, resends the others where needed, and closes idle connections.
 func (s *Callers) sweep() {
-	for _, id := range slices.Sorted(maps.Keys(s.byes)) {
-		if s.core.Now()-s.byes[id].releasedAt > byeTTL {
+	for id, leg := range s.unconfirmedReleases() {
+		if s.core.Now()-leg.releasedAt > byeTTL {
 			s.finish(id)
 		}
 	}
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -156,7 +157,7 @@
 func (x *farEnd) reconcile() {
 	if x.mode != tinbeam.Ready {
 		// Keeps the rule on drains: a set-up still waiting to be written must not be sent after the drain began.
-		for _, a := range x.sortedAttempts() {
+		for a := range x.sortedAttempts() {
 			l := a.Leg.(*attemptLeg)
 			if !a.Established() && (l.conn == nil || l.handle.Withdraw()) {
 				x.farEnds.core.Metrics.AttemptsWithdrawn.Inc()
@@ -182,17 +183,22 @@
 	x.dial(connsWanted)
 }
 
-func (x *farEnd) sortedAttempts() []*agent.Attempt {
-	out := make([]*agent.Attempt, 0, len(x.attempts))
-	for _, uid := range slices.Sorted(maps.Keys(x.attempts)) {
-		out = append(out, x.attempts[uid])
+// sortedAttempts yields the attempts at the far end in the order of their calls' IDs. Ending one of them may end others or start
+// new ones: only attempts that are there now and still there when their turn comes are yielded.
+func (x *farEnd) sortedAttempts() iter.Seq[*agent.Attempt] {
+	present := maps.Clone(x.attempts)
+	return func(yield func(*agent.Attempt) bool) {
+		for _, uid := range slices.Sorted(maps.Keys(present)) {
+			if a := present[uid]; x.attempts[uid] == a && !yield(a) {
+				return
+			}
+		}
 	}
-	return out
 }
 
 // resetAttempts ends all attempts and calls that were sent before a time, or all of them if that time is now.
 func (x *farEnd) resetAttempts(before time.Duration) {
-	for _, a := range x.sortedAttempts() {
+	for a := range x.sortedAttempts() {
 		if a.SentAt < before || before == x.farEnds.core.Now() {
 			x.removeAttempt(a)
 			x.farEnds.core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
@@ -378,7 +384,10 @@
 		return
 	}
 	if refused {
-		for _, a := range slices.Clone(x.waiting) {
+		for a := range x.sortedAttempts() {
+			if !slices.Contains(x.waiting, a) {
+				continue
+			}
 			x.removeAttempt(a)
 			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
 		}
@@ -479,7 +488,7 @@
 	if first && len(x.conns) > 0 && x.conns[0].groupState != nil {
 		core.Report(x.id, x.conns[0].groupState) // from now on the group's states are taken from this connection
 	}
-	for _, a := range x.sortedAttempts() {
+	for a := range x.sortedAttempts() {
 		l := a.Leg.(*attemptLeg)
 		if l.conn != c || a.Established() {
 			continue
@@ -624,10 +633,7 @@
 func (x *farEnd) openTestConn() {
 	if len(x.conns) >= maxConnsPerFarEnd {
 		for _, c := range x.conns {
-			open := slices.ContainsFunc(x.sortedAttempts(), func(a *agent.Attempt) bool {
-				return a.Leg.(*attemptLeg).conn == c && !a.Established()
-			})
-			if !open { // no set-up is lost with it
+			if c.pending == 0 { // no set-up is lost with it
 				c.link.Close()
 				break
 			}
