--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -251,3 +253,47 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// echoHandler answers each input with a message, as fast as it comes.
+type echoHandler struct{}
+
+func (echoHandler) Data(c *Conn, b []byte) (int, error) {
+	for range b {
+		c.Send(make([]byte, 500), nil)
+	}
+	return len(b), nil
+}
+func (echoHandler) Closed(*Conn) {}
+
+// Guards against a crash of the process: netpoll frees the buffers of a connection that is closed, by its peer or by the agent,
+// while the writing goroutine is adding a message to them.
+func TestCloseDuringWrite(t *testing.T) {
+	const connections, concurrent = 20000, 16
+	l, err := Listen("127.0.0.1:0", 1000, 1<<20, func(c *Conn) Handler { return echoHandler{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Serve()
+	defer l.Close()
+	var clients sync.WaitGroup
+	for i := range concurrent {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for range connections / concurrent {
+				c, err := net.Dial("tcp", l.Addr())
+				if err != nil {
+					continue
+				}
+				for range 1 + rng.IntN(4) {
+					c.Write(make([]byte, 1+rng.IntN(20)))
+				}
+				time.Sleep(time.Duration(rng.IntN(1000)) * time.Microsecond)
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		}()
+	}
+	clients.Wait()
+}
