Link: a connection closed during a write no longer crashes the agent

Callers saw: the process ended, at random, more often the more connections were reset or closed early. Cause: netpoll frees a connection's buffers when it closes, also while our writing goroutine is inside WriteBinary, which does not notice. Flush does notice, and reads run under netpoll's own lock. Class: a resource freed by its owner while another goroutine uses it without a lock. Change: netpoll's close callback, which runs before the buffers are freed, marks the output as gone under a lock that WriteBinary is called under. The lock is held for a copy in memory only, so neither the poller nor the loop waits for a peer. The test now also covers closes by the agent.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -69,6 +69,9 @@
 	closing    bool // no more messages are accepted; closes once the queue has been written
 	closed     bool
 	closedOnce sync.Once
+
+	outputMu   sync.Mutex // guards netpoll's output buffer against being freed while a message is added to it
+	outputGone bool       // netpoll frees the output buffer
 }
 
 type message struct {
@@ -85,8 +88,12 @@
 	c.handler = accept(c)
 	c.mu.Unlock()
 	_ = np.SetWriteTimeout(writeTimeout)
+	// netpoll calls this before it frees the buffers.
 	_ = np.AddCloseCallback(func(netpoll.Connection) error {
 		c.markClosed()
+		c.outputMu.Lock()
+		c.outputGone = true
+		c.outputMu.Unlock()
 		return nil
 	})
 	return c
@@ -418,22 +425,34 @@
 }
 
 func (c *Conn) writeLoop() {
-	w := c.np.Writer()
-	for {
-		b := c.nextBatch()
-		if b == nil {
-			break
-		}
-		if _, err := w.WriteBinary(b); err != nil {
-			break
-		}
-		if err := w.Flush(); err != nil {
+	for b := c.nextBatch(); b != nil; b = c.nextBatch() {
+		if err := c.write(b); err != nil {
 			break
 		}
 	}
 	c.Close()
 }
 
+// write hands b to the kernel and waits while the peer does not read, for writeTimeout at most.
+func (c *Conn) write(b []byte) error {
+	if err := c.appendOutput(b); err != nil {
+		return err
+	}
+	return c.np.Writer().Flush()
+}
+
+// appendOutput adds b to netpoll's output buffer, unless the connection is being closed. Unlike Flush, netpoll 0.7's WriteBinary
+// does not notice a close: without the lock, it would use a buffer that has been freed.
+func (c *Conn) appendOutput(b []byte) error {
+	c.outputMu.Lock()
+	defer c.outputMu.Unlock()
+	if c.outputGone {
+		return net.ErrClosed
+	}
+	_, err := c.np.Writer().WriteBinary(b)
+	return err
+}
+
 func init() {
 	// The program is meant for one CPU core: a second poller would only compete with the first for it. netpoll's log of each
 	// reset and early close is discarded, because the owners of the connections count these events.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -268,8 +268,15 @@
 // Guards against a crash of the process: netpoll frees the buffers of a connection that is closed, by its peer or by the agent,
 // while the writing goroutine is adding a message to them.
 func TestCloseDuringWrite(t *testing.T) {
-	const connections, concurrent = 20000, 16
-	l, err := Listen("127.0.0.1:0", 1000, 1<<20, func(c *Conn) Handler { return echoHandler{} })
+	for name, maxQueued := range map[string]int{"by the peer": 1 << 20, "by the agent, whose queue is full": 4000} {
+		t.Run(name, func(t *testing.T) { closeDuringWrites(t, 20000, maxQueued) })
+	}
+}
+
+// closeDuringWrites opens connections whose peers reset them while answers are being written.
+func closeDuringWrites(t *testing.T, connections, maxQueued int) {
+	const concurrent = 16
+	l, err := Listen("127.0.0.1:0", 1000, maxQueued, func(*Conn) Handler { return echoHandler{} })
 	if err != nil {
 		t.Fatal(err)
 	}
