--- /dev/null
+++ b/internal/platform/farends_test.go
@@ -0,0 +1,320 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	"tinbeam/internal/agent"
+	"tinbeam/internal/changelog"
+	"tinbeam/internal/farend"
+	"tinbeam/internal/metrics"
+)
+
+const (
+	testCallID       = "9b1f03aa5c7e2d41"
+	testReleaseDelay = 300 * time.Millisecond
+	testTimeout      = 20 * time.Second // only ends a test that hangs
+)
+
+// farEndFixture is a core with a far-end side on the system clock, and a far end on a loopback socket.
+type farEndFixture struct {
+	*testing.T
+	core     *agent.Core
+	farEnds  *FarEnds
+	listener net.Listener
+	conns    chan *peerConn // accepted by the far end
+	lines    chan peerLine  // received by the far end
+	answers  chan string    // given to the caller
+}
+
+// peerConn is the far end's side of a connection.
+type peerConn struct{ net.Conn }
+
+// peerLine is a line that the far end received; m is nil if the connection ended.
+type peerLine struct {
+	conn *peerConn
+	m    *farend.Message
+	at   time.Time
+}
+
+func (c *peerConn) send(kind, body string, cause int) {
+	m := farend.Message{Kind: kind, UID: testCallID, Cause: cause, Body: body}
+	if kind == farend.Usage {
+		m.Meta = map[string]string{"load": "x0:10;x1:10"}
+	}
+	_, _ = c.Write(m.Append(nil))
+}
+
+func (f *farEndFixture) Answer(_ *agent.Call, description string) {
+	f.answers <- "answer " + description
+}
+func (f *farEndFixture) Refuse(_ *agent.Call, failed bool, _ time.Duration) {
+	f.answers <- fmt.Sprint("refused, failed ", failed)
+}
+func (f *farEndFixture) Release(_ *agent.Call, cause int) {
+	f.answers <- fmt.Sprint("released ", cause)
+}
+
+func newFarEndFixture(t *testing.T) *farEndFixture {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := tinbeam.Settings{LocalExchange: 0, Replicas: 3, MaxAttempts: 4, MarksRedial: true, ReleaseDelay: testReleaseDelay,
+		ReportFields: []string{"idle", "circuits"}, Classes: []tinbeam.Class{{Name: "check", AnswerTarget: 8 * time.Second,
+			HardLimit: 20 * time.Second, Value: 1, Width: 1, RepeatPolicy: "free"}}}
+	loop := agent.NewLoop(agent.SystemClock())
+	core := agent.New(loop, settings, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
+	f := &farEndFixture{T: t, core: core, listener: ln, conns: make(chan *peerConn, 16), lines: make(chan peerLine, 1024),
+		answers: make(chan string, 16)}
+	f.farEnds = NewFarEnds(core, zap.NewNop(), 500*time.Millisecond, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		ln.Close()
+	})
+	go f.accept()
+	go loop.Run(ctx)
+	f.onLoop(func() {
+		f.farEnds.ApplyList(1, tinbeam.ListCached, []changelog.Entry{{Addr: ln.Addr().String(),
+			Entry: tinbeam.Entry{Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready, Weight: 1}}})
+	})
+	return f
+}
+
+// onLoop runs fn on the core's loop and waits for it.
+func (f *farEndFixture) onLoop(fn func()) {
+	done := make(chan struct{})
+	f.core.Post(func() {
+		fn()
+		close(done)
+	})
+	<-done
+}
+
+// accept accepts connections, sends the state of the group on each, and reads lines.
+func (f *farEndFixture) accept() {
+	for {
+		raw, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		c := &peerConn{raw}
+		c.send(farend.Usage, "", 0)
+		f.conns <- c
+		go func() {
+			in := bufio.NewReader(raw)
+			for {
+				line, err := in.ReadBytes('\n')
+				if err != nil {
+					f.lines <- peerLine{c, nil, time.Now()}
+					return
+				}
+				if m, _, err := farend.Parse(line); err == nil && m.Kind != farend.Check {
+					f.lines <- peerLine{c, m, time.Now()}
+				}
+			}
+		}()
+	}
+}
+
+// open waits for the connections that the far-end side keeps, and for the group's state on them to be handled.
+func (f *farEndFixture) open() []*peerConn {
+	conns := make([]*peerConn, connsWanted)
+	for i := range conns {
+		conns[i] = f.nextConn()
+	}
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		open := 0
+		f.onLoop(func() {
+			for _, c := range f.farEnds.byID[7].conns {
+				if c.groupState != nil {
+					open++
+				}
+			}
+		})
+		if open == connsWanted {
+			return conns
+		}
+		if time.Now().After(deadline) {
+			f.Fatalf("%d connections are open", open)
+		}
+	}
+}
+
+func (f *farEndFixture) nextConn() *peerConn {
+	select {
+	case c := <-f.conns:
+		return c
+	case <-time.After(testTimeout):
+		f.Fatal("no connection was opened")
+		return nil
+	}
+}
+
+// next returns the next line of a kind that the far end receives, and fails the test if another line of the call comes first.
+func (f *farEndFixture) next(kind string) peerLine {
+	f.Helper()
+	for {
+		select {
+		case l := <-f.lines:
+			if l.m == nil || l.m.Kind == farend.Stopped {
+				continue
+			}
+			if l.m.Kind != kind {
+				f.Fatalf("received %s, want %s", l.m.Kind, kind)
+			}
+			return l
+		case <-time.After(testTimeout):
+			f.Fatalf("no %s was received", kind)
+		}
+	}
+}
+
+// offer offers a call.
+func (f *farEndFixture) offer() *agent.Call {
+	k := &agent.Call{ID: testCallID, Width: 1, TimeLeft: 15 * time.Second, Dest: 1, Via: -1, Description: "v=0", Caller: f}
+	f.onLoop(func() { f.core.Offer(k) })
+	return k
+}
+
+func (f *farEndFixture) nextAnswer() string {
+	select {
+	case a := <-f.answers:
+		return a
+	case <-time.After(testTimeout):
+		f.Fatal("the caller got nothing")
+		return ""
+	}
+}
+
+// secondAttempt breaks all connections under the first attempt and returns the launch of the second, with an open connection
+// that does not carry it.
+func (f *farEndFixture) secondAttempt() (peerLine, *peerConn) {
+	f.Helper()
+	first := f.open()
+	f.offer()
+	f.next(farend.Launch)
+	for _, c := range first {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	now := f.open()
+	var launch peerLine
+	for launch.m == nil || launch.m.Kind != farend.Launch {
+		launch = <-f.lines // the release of the first attempt may come before it
+	}
+	other := now[0]
+	if launch.conn == other {
+		other = now[1]
+	}
+	return launch, other
+}
+
+// Guards against two attempts of one call out at once: a release that the far end repeats for an earlier attempt, on whichever
+// connection, must not be taken for the end of the present one. Where it may be either's, the present attempt is given up and the
+// release delay kept before the next.
+func TestRepeatedReleaseOfEarlierAttempt(t *testing.T) {
+	for _, cause := range []int{farend.CauseNormal, farend.CauseBusy, farend.CauseFull, farend.CauseReset, farend.CauseFault,
+		farend.CauseTimerExpiry} {
+		t.Run(fmt.Sprint("on another connection, cause ", cause), func(t *testing.T) {
+			t.Parallel()
+			f := newFarEndFixture(t)
+			launch, other := f.secondAttempt()
+			other.send(farend.Stop, "", cause)
+			time.Sleep(testReleaseDelay / 2)
+			launch.conn.send(farend.Running, "v=0 second", 0)
+			if got := f.nextAnswer(); got != "answer v=0 second" || len(f.lines) > 0 {
+				t.Errorf("the caller got %q; %d further lines at the far end", got, len(f.lines))
+			}
+		})
+		t.Run(fmt.Sprint("on the same connection, cause ", cause), func(t *testing.T) {
+			t.Parallel()
+			f := newFarEndFixture(t)
+			launch, _ := f.secondAttempt()
+			launch.conn.send(farend.Stop, "", cause)
+			if cause == farend.CauseNormal { // cannot be a refusal: the attempt goes on
+				launch.conn.send(farend.Running, "v=0 second", 0)
+				if got := f.nextAnswer(); got != "answer v=0 second" {
+					t.Errorf("the caller got %q", got)
+				}
+				return
+			}
+			f.next(farend.Stop)
+			if third := f.next(farend.Launch); third.at.Sub(launch.at) < testReleaseDelay {
+				t.Errorf("attempt 3 came %v after attempt 2", third.at.Sub(launch.at))
+			}
+		})
+	}
+}
+
+// Guards against two attempts of one call out at once: a copy of the refusal of the first attempt, which comes after the second
+// was sent, must not be taken for the refusal of the second.
+func TestCopyOfRefusal(t *testing.T) {
+	f := newFarEndFixture(t)
+	f.open()
+	f.offer()
+	first := f.next(farend.Launch)
+	first.conn.send(farend.Stop, "", farend.CauseBusy)
+	second := f.next(farend.Launch)
+	second.conn.send(farend.Stop, "", farend.CauseBusy)
+	f.next(farend.Stop)
+	if third := f.next(farend.Launch); third.at.Sub(second.at) < testReleaseDelay {
+		t.Errorf("attempt 3 came %v after attempt 2", third.at.Sub(second.at))
+	}
+}
+
+// Guards against a wrong answer: an answer on a connection that does not carry the attempt is not the attempt's.
+func TestAnswerOnAnotherConnection(t *testing.T) {
+	f := newFarEndFixture(t)
+	launch, other := f.secondAttempt()
+	other.send(farend.Running, "v=0 first", 0)
+	time.Sleep(testReleaseDelay / 3)
+	launch.conn.send(farend.Running, "v=0 second", 0)
+	if got := f.nextAnswer(); got != "answer v=0 second" {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
+// Guards against a call that stands at the far end beside its next attempt: the answer of an attempt may be lost with its
+// connection, so the far end is told that the attempt is over, before the next one and on the same connection.
+func TestLostAttemptIsReleasedBeforeTheNext(t *testing.T) {
+	f := newFarEndFixture(t)
+	conns := f.open()
+	f.offer()
+	f.next(farend.Launch)
+	for _, c := range conns {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	stop := f.next(farend.Stop)
+	if launch := f.next(farend.Launch); launch.conn != stop.conn || stop.m.Cause != farend.CauseNormal {
+		t.Errorf("release with cause %d on connection %p, next attempt on %p", stop.m.Cause, stop.conn, launch.conn)
+	}
+}
+
+// Guards against a call left standing: a release that may be an earlier attempt's, and ends an established call, is answered with
+// a release; one that only a refused set-up gets changes nothing.
+func TestRepeatedReleaseOfEstablishedCall(t *testing.T) {
+	f := newFarEndFixture(t)
+	launch, other := f.secondAttempt()
+	launch.conn.send(farend.Running, "v=0 second", 0)
+	f.nextAnswer()
+	other.send(farend.Stop, "", farend.CauseFull)
+	time.Sleep(testReleaseDelay / 3)
+	if len(f.answers) > 0 {
+		t.Errorf("a refusal of an earlier set-up ended the call: %s", <-f.answers)
+	}
+	other.send(farend.Stop, "", farend.CauseReset)
+	if got := f.nextAnswer(); got != "released 41" {
+		t.Errorf("the caller got %q", got)
+	}
+	f.next(farend.Stop)
+}
