Far ends: a line of an earlier attempt no longer ends or answers the present one

Cause: a line was matched to the present attempt by Call-ID alone. After attempt 1 was lost with its connection, its release, repeated on the next connection or copied, was taken for the refusal of attempt 2. Class: a reply matched to whatever request is current under the same key, in place of the request that it answers. Before the answer only lines on the connection that carries the set-up count. A cause that the attempt cannot end with is an earlier attempt's. Where a release may be either's, the attempt is given up with a stop line and the release delay is kept. Why it works: whichever attempt the line meant, none is out when the next one goes. An established call that such a line ends is also released at the far end. Counters stale_lines_total, attempts_ambiguous_total.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,7 @@
 	answered      bool // the final answer has been given
 	established   bool
 	attempt       *Attempt // the outstanding attempt, or that of the established call
+	lastAttempt   *Attempt // the latest attempt, also when it has ended
 	attempts      int
 	maxAttempts   int           // 0: no limit was given
 	notBefore     time.Duration // earliest time of the next attempt
@@ -107,7 +108,9 @@
 	Timeout time.Duration // how long to wait for the answer
 	Leg     any           // state kept by the front end that carries out the attempt
 
-	SentAt time.Duration
+	SentAt   time.Duration
+	EndedAt  time.Duration // end of the attempt or of its call; 0: it has not ended
+	Previous *Attempt      // the call's attempt before this one; nil: this is the first
 
 	try   int // index among the attempts of its call
 	timer *Timer
@@ -414,8 +417,8 @@
 		c.notify(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.TimedOut})
 		return
 	}
-	attempt := &Attempt{Call: k, Switch: a.Switch, Timeout: left, try: try, SentAt: c.Now()}
-	k.attempt = attempt
+	attempt := &Attempt{Call: k, Switch: a.Switch, Timeout: left, try: try, SentAt: c.Now(), Previous: k.lastAttempt}
+	k.attempt, k.lastAttempt = attempt, attempt
 	c.Metrics.Attempts.Inc()
 	if e := c.log.Check(zap.DebugLevel, "attempt started"); e != nil {
 		e.Write(attempt.logFields(zap.Duration("timeout", left))...)
@@ -431,6 +434,7 @@
 // detach stops the timer of an attempt and removes it from its call.
 func (c *Core) detach(attempt *Attempt) {
 	c.Stop(attempt.timer)
+	attempt.EndedAt = c.Now()
 	attempt.Call.attempt = nil
 }
 
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,7 +55,8 @@
 //	@ gateway NAME place=N ...  starts an MGCP gateway at exchange number N
 //	@ route PREFIX PLACE        routes numbers that gateways' callers dial to the exchange number PLACE
 //	@ start                     starts the program
-//	@ NAME ->                   NAME sends the text; an unknown NAME is a new caller
+//	@ NAME ->                   NAME sends the text, a far end on the connection of the call's set-up if that is open; an
+//	                            unknown NAME is a new caller
 //	@ NAME =>                   NAME sends the text on all its connections
 //	@ NAME <-                   NAME receives exactly the text next; {x} stores a value or must equal the stored one, {?}
 //	                            matches any value
@@ -120,9 +122,10 @@
 	udp           *net.UDPConn
 	greeting      string
 	conns         []net.Conn
-	received      []byte         // not yet matched by a step
-	datagrams     [][]byte       // not yet matched by a step
-	timesReceived map[string]int // by datagram
+	launchedOn    map[string]net.Conn // connection of the latest set-up of each call, by its ID
+	received      []byte              // not yet matched by a step
+	datagrams     [][]byte            // not yet matched by a step
+	timesReceived map[string]int      // by datagram
 	lastDatagram  string
 	closed        bool
 }
@@ -158,7 +161,7 @@
 		p.Fatal(err)
 	}
 	x := &template
-	x.p, x.name, x.listener = p, name, ln
+	x.p, x.name, x.listener, x.launchedOn = p, name, ln, map[string]net.Conn{}
 	p.peers[name] = x
 	go func() {
 		for {
@@ -172,6 +175,23 @@
 	return x
 }
 
+// launchedID matches a set-up that a far end receives, and messageID a line that it sends.
+var (
+	launchedID = regexp.MustCompile(`"kind":"launch","uid":"([0-9a-f]*)"`)
+	messageID  = regexp.MustCompile(`"uid":"([0-9a-f]*)"`)
+)
+
+// connFor returns the connection for a text: for a far end that of the call's set-up, if it is open, else the oldest one. The
+// lock is held.
+func (x *peer) connFor(text []byte) net.Conn {
+	if m := messageID.FindSubmatch(text); m != nil && x.isFarEnd {
+		if c := x.launchedOn[string(m[1])]; c != nil && slices.Contains(x.conns, c) {
+			return c
+		}
+	}
+	return x.conns[0]
+}
+
 // attach adds a connection to the peer, sends the greeting and reads what arrives.
 func (x *peer) attach(c net.Conn) {
 	x.p.mu.Lock()
@@ -193,6 +213,9 @@
 			if x.isFarEnd {
 				partial = len(data) - (bytes.LastIndexByte(data, '\n') + 1)
 			}
+			for _, m := range launchedID.FindAllSubmatch(data[:len(data)-partial], -1) {
+				x.launchedOn[string(m[1])] = c
+			}
 			x.received = append(x.received, data[:len(data)-partial]...)
 			data = append(data[:0], data[len(data)-partial:]...)
 			if err != nil {
@@ -502,7 +525,7 @@
 		}
 		p.waitFor(what, func() bool { return len(x.conns) > 0 })
 		p.mu.Lock()
-		c := x.conns[0]
+		c := x.connFor(b)
 		p.mu.Unlock()
 		c.Write(b)
 	case "=>":
--- a/internal/farend/farend.go
+++ b/internal/farend/farend.go
@@ -152,6 +152,12 @@
 	return tinbeam.Failed
 }
 
+// EndsSetUp reports whether a far end sends a Stop message with this cause for a set-up that it has not answered.
+func (m *Message) EndsSetUp() bool { return m.Cause != CauseNormal }
+
+// EndsCall reports whether a far end sends a Stop message with this cause for an established call.
+func (m *Message) EndsCall() bool { return m.Cause == CauseNormal || m.Cause == CauseReset }
+
 // Note returns the note of a Stop message in the decision module's encoding: see tinbeam.NoteNoCircuit and the constants after
 // it. With NoteProcessor, the bits above the lowest four hold the time in milliseconds that the call waited.
 func (m *Message) Note() uint32 {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,7 @@
 	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts         *Counter
 	PushesOK, PushesFailed                                          *Counter
 	MemoryInUse, Goroutines                                         *Counter
+	StaleLines, AttemptsAmbiguous                                   *Counter
 
 	all     []*Counter
 	mu      sync.Mutex
@@ -140,6 +141,9 @@
 	add(&s.MGCPReplayed, "mgcp_replayed_total", "MGCP commands answered from the response cache")
 	add(&s.MGCPRestarts, "mgcp_restarts_total", "RSIP messages from gateways")
 	add(&s.PushesOK, "remote_writes_total", "remote writes accepted")
+	add(&s.StaleLines, "stale_lines_total", "lines from far ends about an earlier attempt of a call, which were ignored")
+	add(&s.AttemptsAmbiguous, "attempts_ambiguous_total",
+		"attempts given up since a release may have been theirs or an earlier attempt's")
 	gauge(&s.MemoryInUse, "memory_bytes", "memory that the Go runtime holds from the system now")
 	gauge(&s.Goroutines, "goroutines", "goroutines now")
 	add(&s.PushesFailed, "remote_writes_failed_total", "remote writes that failed")
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -82,6 +82,7 @@
 	pending bool // no answer was received yet
 	handle  link.SendHandle
 	expiry  *agent.Timer // runs while the attempt waits for a connection
+	ended   bool         // the far end has sent its end
 }
 
 // NewFarEnds returns the far-end side. onReady is called once for each far end outside the local exchange, when the state of
@@ -303,17 +304,23 @@
 		f.core.Metrics.AttemptsWithdrawn.Inc()
 		return
 	}
-	l.conn.link.Send((&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: farend.CauseNormal}).Append(nil), nil)
+	l.conn.link.Send(stopLine(a, farend.CauseNormal), nil)
 }
 
-// Release releases an established call: on the connection of its set-up, else on any other, else on the next one opened.
+// Release releases an established call.
 func (f *FarEnds) Release(a *agent.Attempt, cause int) {
 	x := f.byID[a.Switch]
 	if x == nil {
 		return
 	}
 	x.removeAttempt(a)
-	m := (&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
+	x.sendStop(a, cause)
+}
+
+// sendStop ends an attempt or a call at the far end: on the connection of its set-up, else on any other, else on the next one
+// opened.
+func (x *farEnd) sendStop(a *agent.Attempt, cause int) {
+	m := stopLine(a, cause)
 	if c := a.Leg.(*attemptLeg).conn; c != nil && c.link.Send(m, nil) {
 		return
 	}
@@ -325,6 +332,10 @@
 	}
 }
 
+func stopLine(a *agent.Attempt, cause int) []byte {
+	return (&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
+}
+
 // Probe sends a load probe to a far end.
 func (f *FarEnds) Probe(id uint32) {
 	x := f.byID[id]
@@ -522,6 +533,10 @@
 			core.Metrics.StrayMessages.Inc() // it crossed the stop line for its set-up, which ends it at the far end
 			return
 		}
+		if !a.Established() && !c.carries(a) {
+			x.ignoreStale(a, m)
+			return
+		}
 		a.Leg.(*attemptLeg).clearPending()
 		core.Answered(a, m.Body)
 	case farend.Stop:
@@ -529,11 +544,7 @@
 			core.Metrics.StrayMessages.Inc()
 			return
 		}
-		if a.Established() {
-			c.link.Send((&farend.Message{Kind: farend.Stopped, UID: m.UID}).Append(nil), nil)
-		}
-		x.removeAttempt(a)
-		core.Ended(a, m.OutcomeCode(a.Established()), m.Note(), m.Report(core.Settings.ReportFields), m.Cause)
+		c.handleStop(a, m)
 	case farend.Usage:
 		// A group's state is sent on every connection, so only the copy on the first one is reported. The second copy is
 		// older than the set-ups sent after the first; reported too, it would let as many go again, and they would find
