Far ends: an attempt lost with its connection is released before the next one

Cause: when a connection was lost, its set-ups were taken to be over at the far end. One that the far end had answered, with the answer lost or spoilt, stands there and belongs to no connection. Class: state at the other side assumed from our own view. Change: a lost set-up that was written is released on another connection, or on the next one; so is a cancelled one whose connection has closed. The next launch of the call follows on the same connection, and the stop line is repeated before it if its connection has closed, so that the far end never reads the stop after the launch. A refused dial drops the queued releases: the process and its calls are gone.

--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -224,7 +224,7 @@
 	}
 }
 
-// release ends an established call: on the connection of its set-up, else on any open one, else on the next one.
+// release ends an established call: on the connection of its set-up, else on any open one, and also on the next one opened.
 func (f *farEnd) release(a *farAttempt) {
 	f.waitWhileHanging()
 	f.mu.Lock()
@@ -239,9 +239,7 @@
 	if i := slices.Index(conns, a.conn); i > 0 {
 		conns[0], conns[i] = conns[i], conns[0]
 	}
-	if len(conns) == 0 {
-		f.repeats = append(f.repeats, line.Append(nil))
-	}
+	f.repeats = append(f.repeats, line.Append(nil))
 	f.mu.Unlock()
 	for _, c := range conns {
 		if c.writeLine(line) == nil {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -316,11 +316,25 @@
 	return line[middle:]
 }
 
-// recordRelease records that a release was passed on to the agent.
+// deliveryTime is how long a connection has to stay open for what was written to it to count as delivered: a reset takes with
+// it what has not been read yet.
+const deliveryTime = 100 * time.Millisecond
+
+// recordRelease records that a release was passed on to the agent, if the connection stays open.
 func (l *proxyLink) recordRelease(line []byte) {
-	if m, _, err := farend.Parse(line); err == nil && m != nil && m.Kind == farend.Stop {
-		l.proxy.recorder.Add(Event{Kind: FarReleased, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id})
+	m, _, err := farend.Parse(line)
+	if err != nil || m == nil || m.Kind != farend.Stop {
+		return
 	}
+	passedAt := l.proxy.recorder.Now()
+	time.AfterFunc(deliveryTime, func() {
+		l.proxy.mu.Lock()
+		closed := l.closed
+		l.proxy.mu.Unlock()
+		if !closed {
+			l.proxy.recorder.Add(Event{At: passedAt, Kind: FarReleased, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id})
+		}
+	})
 }
 
 // spoil returns a line that cannot be read: cut short, or with other bytes in it.
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -59,7 +59,7 @@
 	checkPending   bool                      // a health check was sent, and nothing received since
 	attempts       map[string]*agent.Attempt // pending or established, by Call.ID
 	waiting        []*agent.Attempt          // attempts waiting for a connection
-	queuedReleases [][]byte                  // releases waiting for a connection
+	queuedReleases []queuedRelease           // releases waiting for a connection
 	checkSentAt    map[string]time.Duration  // send times of the check lines without an answer, by UID
 }
 
@@ -76,6 +76,12 @@
 	groupState   []float32 // the last state of the circuit group received here
 }
 
+// queuedRelease is the release of an attempt or call that could not be sent yet.
+type queuedRelease struct {
+	leg  *attemptLeg
+	line []byte
+}
+
 // attemptLeg is this front end's state of an attempt, kept in Attempt.Leg.
 type attemptLeg struct {
 	conn    *farConn
@@ -83,6 +89,8 @@
 	handle  link.SendHandle
 	expiry  *agent.Timer // runs while the attempt waits for a connection
 	ended   bool         // the far end has sent its end
+	// connection that the stop line of the attempt was sent on; nil: none was sent
+	stopConn *farConn
 }
 
 // NewFarEnds returns the far-end side. onReady is called once for each far end outside the local exchange, when the state of
@@ -245,7 +253,7 @@
 		return
 	}
 	x.attempts[a.Call.ID] = a
-	if c := x.leastLoaded(); c != nil {
+	if c := x.connFor(a); c != nil {
 		c.sendLaunch(a)
 		return
 	}
@@ -269,6 +277,17 @@
 	return best
 }
 
+// connFor returns the connection for the launch of an attempt; nil: none is open. The stop line of an earlier attempt of the call
+// must not arrive after the launch, which it would end: so the launch follows it on the same connection.
+func (x *farEnd) connFor(a *agent.Attempt) *farConn {
+	for p := a.Previous; p != nil; p = p.Previous {
+		if l, ok := p.Leg.(*attemptLeg); ok && p.Switch == a.Switch && slices.Contains(x.conns, l.stopConn) {
+			return l.stopConn
+		}
+	}
+	return x.leastLoaded()
+}
+
 // launchLine is the line that sets a call up at a far end.
 func launchLine(k *agent.Call, class string, left time.Duration) *farend.Message {
 	m := &farend.Message{Kind: farend.Launch, UID: k.ID, Body: k.Description, Meta: map[string]string{
@@ -286,12 +305,24 @@
 	m := launchLine(k, core.Settings.Classes[k.Class].Name, left)
 	l.conn, l.pending = c, true
 	c.pending++
+	c.repeatStops(a)
 	if e := c.farEnd.farEnds.log.Check(zap.DebugLevel, "set-up"); e != nil {
 		e.Write(zap.String("far", c.farEnd.addr), zap.String("uid", k.ID), zap.Float64("width", k.Width))
 	}
 	c.link.Send(m.Append(nil), &l.handle) // if Send fails, the connection's close is reported and ends the attempt
 }
 
+// repeatStops sends the stop lines of the call's earlier attempts again if their connection has closed: they may not have arrived.
+func (c *farConn) repeatStops(a *agent.Attempt) {
+	for p := a.Previous; p != nil; p = p.Previous {
+		l, ok := p.Leg.(*attemptLeg)
+		if ok && p.Switch == a.Switch && l.stopConn != nil && l.stopConn != c && !l.ended {
+			c.link.Send(stopLine(p, farend.CauseNormal), nil)
+			l.stopConn = c
+		}
+	}
+}
+
 // Cancel withdraws a set-up that has not been written, or cancels it at the far end.
 func (f *FarEnds) Cancel(a *agent.Attempt) {
 	l := a.Leg.(*attemptLeg)
@@ -304,7 +335,7 @@
 		f.core.Metrics.AttemptsWithdrawn.Inc()
 		return
 	}
-	l.conn.link.Send(stopLine(a, farend.CauseNormal), nil)
+	x.sendStop(a, farend.CauseNormal)
 }
 
 // Release releases an established call.
@@ -320,15 +351,15 @@
 // sendStop ends an attempt or a call at the far end: on the connection of its set-up, else on any other, else on the next one
 // opened.
 func (x *farEnd) sendStop(a *agent.Attempt, cause int) {
-	m := stopLine(a, cause)
-	if c := a.Leg.(*attemptLeg).conn; c != nil && c.link.Send(m, nil) {
-		return
-	}
-	if c := x.leastLoaded(); c != nil && c.link.Send(m, nil) {
-		return
+	l, line := a.Leg.(*attemptLeg), stopLine(a, cause)
+	for _, c := range []*farConn{l.conn, x.leastLoaded()} {
+		if c != nil && !c.closed && c.link.Send(line, nil) {
+			l.stopConn = c
+			return
+		}
 	}
 	if len(x.queuedReleases) < maxQueuedReleases {
-		x.queuedReleases = append(x.queuedReleases, m)
+		x.queuedReleases = append(x.queuedReleases, queuedRelease{l, line})
 	}
 }
 
@@ -403,6 +434,7 @@
 			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
 		}
 		x.resetAttempts(core.Now())
+		x.queuedReleases = nil // the process has lost its calls
 	}
 }
 
@@ -441,8 +473,10 @@
 	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
 		zap.Int("set-ups waiting", len(x.waiting)))
 	core.Metrics.LinksUp.Inc()
-	for _, m := range x.queuedReleases {
-		l.Send(m, nil)
+	for _, r := range x.queuedReleases {
+		if l.Send(r.line, nil) {
+			r.leg.stopConn = c
+		}
 	}
 	x.queuedReleases = nil
 	waiting := x.waiting
@@ -510,6 +544,8 @@
 		if l.handle.Withdraw() { // none of it was written, so the far end never received it
 			core.Ended(a, tinbeam.ConnectFailed, tinbeam.NoteLinkLost, nil, 0)
 		} else {
+			// The far end may have answered, and the answer was lost: then its call stands there, and no connection.
+			x.sendStop(a, farend.CauseNormal)
 			core.Ended(a, tinbeam.Reset, tinbeam.NoteLinkLost, nil, farend.CauseReset)
 		}
 	}
