--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -44,16 +44,20 @@
 type Step struct {
 	At       time.Duration
 	Kind     StepKind
-	Target   int           // index of the agent or of the far end
+	Site     int           // index of the agent that is concerned, or everySite
+	FarEnd   int           // index of the far end that is concerned
 	Lasts    time.Duration // until it is lifted
 	Fault    linkFault     // of a link fault
 	Repeated int           // how often, for reloads
 }
 
 func (s Step) String() string {
-	return fmt.Sprintf("%v %s target %d for %v %+v x%d", s.At, s.Kind, s.Target, s.Lasts, s.Fault, s.Repeated)
+	return fmt.Sprintf("%v %s agent %d far end %d for %v %+v x%d", s.At, s.Kind, s.Site, s.FarEnd, s.Lasts, s.Fault, s.Repeated)
 }
 
+// everySite is the Site of a step that concerns all agents.
+const everySite = -1
+
 // killAfterTerm is the page's earliest time from SIGTERM to SIGKILL: the longest deadline and 0.7 s.
 const killAfterTerm = 3700 * time.Millisecond
 
@@ -81,7 +85,7 @@
 	plan.addDiscoveryFaults(d)
 	plan.addSignals(d)
 	if d.Float64() < 0.3 {
-		plan.add(d, Step{Kind: StepCrowd, Target: d.IntN(plan.Agents), Lasts: d.between(time.Second, 3*time.Second)})
+		plan.add(d, Step{Kind: StepCrowd, Site: d.IntN(plan.Agents), Lasts: d.between(time.Second, 3*time.Second)})
 	}
 	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
@@ -114,17 +118,17 @@
 		},
 	}
 	for range 3 + d.IntN(6) {
-		p.add(d, Step{Kind: StepLinkFault, Target: d.IntN(p.FarEnds), Lasts: d.between(300*ms, 2500*ms), Fault: faults[d.IntN(len(faults))]()})
+		p.add(d, Step{Kind: StepLinkFault, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(300*ms, 2500*ms), Fault: faults[d.IntN(len(faults))]()})
 	}
 	for range d.IntN(6) {
-		p.add(d, Step{Kind: StepResetLinks, Target: d.IntN(p.FarEnds)})
+		p.add(d, Step{Kind: StepResetLinks, Site: everySite, FarEnd: d.IntN(p.FarEnds)})
 	}
 }
 
 func (p *Plan) addFarEndFaults(d draw) {
 	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood}
 	for range 1 + d.IntN(4) {
-		p.add(d, Step{Kind: kinds[d.IntN(len(kinds))], Target: d.IntN(p.FarEnds), Lasts: d.between(400*time.Millisecond, 3*time.Second)})
+		p.add(d, Step{Kind: kinds[d.IntN(len(kinds))], Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(400*time.Millisecond, 3*time.Second)})
 	}
 }
 
@@ -132,14 +136,14 @@
 func (p *Plan) addDiscoveryFaults(d draw) {
 	agent := d.IntN(p.Agents)
 	if kind := d.IntN(4); kind < 2 {
-		outage := Step{At: d.between(warmUp, p.Duration/2), Kind: []StepKind{StepSilentWatch, StepNoDiscovery}[kind], Target: agent,
+		outage := Step{At: d.between(warmUp, p.Duration/2), Kind: []StepKind{StepSilentWatch, StepNoDiscovery}[kind], Site: agent,
 			Lasts: d.between(500*time.Millisecond, 4*time.Second)}
 		p.add(d, outage)
-		p.add(d, Step{At: outage.At + outage.Lasts - d.between(0, 400*time.Millisecond), Kind: StepDrain, Target: d.IntN(p.FarEnds),
+		p.add(d, Step{At: outage.At + outage.Lasts - d.between(0, 400*time.Millisecond), Kind: StepDrain, Site: everySite, FarEnd: d.IntN(p.FarEnds),
 			Lasts: d.between(500*time.Millisecond, 2*time.Second)})
 	}
 	for range d.IntN(3) {
-		p.add(d, Step{Kind: StepReload, Target: d.IntN(p.Agents), Repeated: 1 + d.IntN(8)})
+		p.add(d, Step{Kind: StepReload, Site: d.IntN(p.Agents), Repeated: 1 + d.IntN(8)})
 	}
 }
 
@@ -150,13 +154,13 @@
 	}
 	at := d.between(warmUp, 3*time.Second)
 	if d.Float64() < 0.5 {
-		p.add(d, Step{At: at - 300*time.Millisecond, Kind: StepHang, Target: d.IntN(p.FarEnds), Lasts: 5 * time.Second})
+		p.add(d, Step{At: at - 300*time.Millisecond, Kind: StepHang, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: 5 * time.Second})
 	}
 	for agent := range p.Agents {
 		if d.Float64() < 0.3 {
-			p.add(d, Step{At: at, Kind: StepReload, Target: agent, Repeated: 12})
+			p.add(d, Step{At: at, Kind: StepReload, Site: agent, Repeated: 12})
 		}
-		p.add(d, Step{At: at, Kind: StepRestart, Target: agent})
+		p.add(d, Step{At: at, Kind: StepRestart, Site: agent})
 		at += d.between(300*time.Millisecond, 4500*time.Millisecond)
 	}
 }
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -30,7 +30,6 @@
 	drainGrace      = 250 * time.Millisecond // as in settingsJSON
 	firstSequence   = 40
 	firstFarEnd     = 0xfa000001
-	initialListSeq  = firstSequence
 	setUpsOfACrowd  = 25 * time.Millisecond
 	crowdBodySize   = 14 << 10
 	frontTestPeriod = 50 * time.Millisecond
@@ -49,19 +48,20 @@
 type trial struct {
 	plan     Plan
 	recorder *Recorder
-	farEnds  []*farEnd
-	proxies  []*proxy
-	log      *changeLog
-	listMu   sync.Mutex
-	list     []listing
-	agents   []*agentSite
+	sites    []*site
 	steps    sync.WaitGroup
 }
 
-// agentSite is one agent with its callers and its servers of the change log.
-type agentSite struct {
+// site is one agent with all parties around it: far ends, proxies, callers, and the servers of its change log.
+type site struct {
+	recorder  *Recorder
 	process   *process
 	crowd     *crowd
+	farEnds   []*farEnd
+	proxies   []*proxy
+	log       *changeLog
+	listMu    sync.Mutex
+	list      []listing
 	servers   [2]*discovery
 	serverMu  sync.Mutex
 	server    int // index of the server that the configuration names
@@ -94,40 +94,35 @@
 	return result, writeEvents(filepath.Join(dir, "records.jsonl"), events)
 }
 
-// startParties starts the far ends, the change log and the agents, and waits until the agents are ready.
+// startParties starts all sites, and waits until their agents are ready.
 func (t *trial) startParties(binary, dir string) error {
-	t.log = newChangeLog(initialListSeq, t.recorder)
-	for i := range t.plan.FarEnds {
-		id := uint32(firstFarEnd + i)
-		f, err := newFarEnd(fmt.Sprintf("s-%08x", id), t.plan.Seed+uint64(i), t.recorder)
-		if err != nil {
-			return err
+	for i := range t.plan.Agents {
+		a, err := t.newSite(i, binary, dir)
+		if a != nil {
+			t.sites = append(t.sites, a)
 		}
-		p, err := newProxy(f, t.plan.Seed+uint64(i), t.recorder)
-		if err != nil {
-			return err
+		if err == nil {
+			err = a.startAgent()
 		}
-		t.farEnds, t.proxies = append(t.farEnds, f), append(t.proxies, p)
-		t.list = append(t.list, listing{ID: id, Addr: netip.MustParseAddrPort(p.addr()), Exchange: i + 1, State: stateReady})
-	}
-	for i := range t.plan.Agents {
-		a, err := t.newAgent(i, binary, dir)
 		if err != nil {
 			return err
 		}
-		t.agents = append(t.agents, a)
-		if err := t.startAgent(a); err != nil {
-			return err
-		}
 	}
 	return nil
 }
 
-func (t *trial) newAgent(i int, binary, dir string) (*agentSite, error) {
-	name := fmt.Sprintf("n%d", i)
-	a := &agentSite{}
+// newSite returns the site with the given index, whose agent has not been started.
+func (t *trial) newSite(index int, binary, dir string) (*site, error) {
+	name := fmt.Sprintf("n%d", index)
+	seed := t.plan.Seed + uint64(index)<<32
+	a := &site{recorder: t.recorder, log: newChangeLog(firstSequence, t.recorder)}
+	for i := range t.plan.FarEnds {
+		if err := a.addFarEnd(uint32(firstFarEnd+index<<8+i), i+1, seed+uint64(i)); err != nil {
+			return nil, err
+		}
+	}
 	for j := range a.servers {
-		d, err := newDiscovery(name, t.log)
+		d, err := newDiscovery(name, a.log)
 		if err != nil {
 			return nil, err
 		}
@@ -138,12 +133,27 @@
 		return nil, err
 	}
 	a.process = &process{name: name, binary: binary, dir: dir, recorder: t.recorder, config: agentConfig{Name: name, Listen: listen,
-		Seed: fmt.Sprintf("%016x", t.plan.Seed), Limits: limits{Cores: 1, MemoryMB: t.plan.MemoryMB, Sockets: t.plan.Sockets},
+		Seed: fmt.Sprintf("%016x", seed), Limits: limits{Cores: 1, MemoryMB: t.plan.MemoryMB, Sockets: t.plan.Sockets},
 		Settings: []byte(settingsJSON)}}
-	a.crowd = newCrowd(name, listen, t.plan.Traffic, t.plan.Seed+uint64(i), t.recorder)
+	a.crowd = newCrowd(name, listen, t.plan.Traffic, seed, t.recorder)
 	return a, nil
 }
 
+// addFarEnd starts a far end with a proxy before it, and lists it.
+func (a *site) addFarEnd(id uint32, exchange int, seed uint64) error {
+	f, err := newFarEnd(fmt.Sprintf("s-%08x", id), seed, a.recorder)
+	if err != nil {
+		return err
+	}
+	p, err := newProxy(f, seed, a.recorder)
+	if err != nil {
+		return err
+	}
+	a.farEnds, a.proxies = append(a.farEnds, f), append(a.proxies, p)
+	a.list = append(a.list, listing{ID: id, Addr: netip.MustParseAddrPort(p.addr()), Exchange: exchange, State: stateReady})
+	return nil
+}
+
 // freeAddress returns an address that nothing listens on at present.
 func freeAddress() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -155,18 +165,18 @@
 }
 
 // startAgent starts an agent's process with the present list, and lets callers in once it has passed a test.
-func (t *trial) startAgent(a *agentSite) error {
-	t.listMu.Lock()
-	seq := t.log.present()
-	a.process.config.Known = knownList(seq, t.list)
-	t.listMu.Unlock()
+func (a *site) startAgent() error {
+	a.listMu.Lock()
+	seq := a.log.present()
+	a.process.config.Known = knownList(seq, a.list)
+	a.listMu.Unlock()
 	a.serverMu.Lock()
 	a.process.config.Changelog = a.servers[a.server].addr()
 	a.serverMu.Unlock()
 	if err := a.process.start(); err != nil {
 		return err
 	}
-	t.recorder.Add(Event{Kind: ListDelivered, Agent: a.process.name, Value: int64(seq)})
+	a.recorder.Add(Event{Kind: ListDelivered, Agent: a.process.name, Value: int64(seq)})
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(frontTestPeriod) {
 		if passesTest(a.process.config.Listen) {
 			a.crowd.setAcceptsNew(true)
@@ -198,7 +208,7 @@
 	var callers sync.WaitGroup
 	start := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
-	for i, a := range t.agents {
+	for i, a := range t.sites {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -216,58 +226,69 @@
 	for _, s := range t.plan.Steps {
 		time.Sleep(time.Until(start.Add(s.At)))
 		t.recorder.Add(Event{Kind: FaultInjected, Note: s.String()})
-		t.steps.Add(1)
-		go func() {
-			defer t.steps.Done()
-			t.do(s)
-		}()
+		for i, a := range t.sites {
+			if s.Site == everySite || s.Site == i {
+				t.steps.Add(1)
+				go func() {
+					defer t.steps.Done()
+					a.do(s, t.plan)
+				}()
+			}
+		}
 	}
 	time.Sleep(time.Until(start.Add(t.plan.Duration)))
 	t.steps.Wait()
 	cancel()
-	for _, a := range t.agents {
+	for _, a := range t.sites {
 		a.crowd.stop()
 	}
 	callers.Wait()
 }
 
 // do plays one step until it is lifted.
-func (t *trial) do(s Step) {
+func (a *site) do(s Step, plan Plan) {
 	switch s.Kind {
 	case StepLinkFault:
-		t.proxies[s.Target].setFault(s.Fault)
+		a.proxies[s.FarEnd].setFault(s.Fault)
 		time.Sleep(s.Lasts)
-		t.proxies[s.Target].setFault(linkFault{})
+		a.proxies[s.FarEnd].setFault(linkFault{})
 	case StepResetLinks:
-		t.proxies[s.Target].resetAll()
+		a.proxies[s.FarEnd].resetAll()
 	case StepHang:
-		t.farEnds[s.Target].hang(s.Lasts)
+		a.farEnds[s.FarEnd].hang(s.Lasts)
 	case StepErrors:
-		t.farEnds[s.Target].failFor(s.Lasts)
+		a.farEnds[s.FarEnd].failFor(s.Lasts)
 	case StepFlood:
-		t.farEnds[s.Target].flood(s.Lasts)
+		a.farEnds[s.FarEnd].flood(s.Lasts)
 	case StepDie:
-		t.replaceProcess(s.Target, s.Lasts/4)
+		a.replaceProcess(s.FarEnd, s.Lasts/4)
 	case StepDrain:
-		t.drain(s.Target, s.Lasts)
+		a.drain(s.FarEnd, s.Lasts)
 	case StepSilentWatch:
-		t.breakDiscovery(t.agents[s.Target], discoverySilent, s.Lasts)
+		a.breakDiscovery(discoverySilent, s.Lasts)
 	case StepNoDiscovery:
-		t.breakDiscovery(t.agents[s.Target], discoveryDown, s.Lasts)
+		a.breakDiscovery(discoveryDown, s.Lasts)
 	case StepReload:
-		t.reload(t.agents[s.Target], s.Repeated)
+		a.reload(s.Repeated)
 	case StepRestart:
-		t.restart(t.agents[s.Target])
+		a.restart()
 	case StepCrowd:
-		t.crowd(t.agents[s.Target], s.Lasts)
+		a.playCrowd(plan, s.Lasts)
 	}
 }
 
-// setState changes the state of a far end in the list. It reports false if the far end is in that state already.
-func (t *trial) setState(i int, from []string, state string) bool {
-	t.listMu.Lock()
-	defer t.listMu.Unlock()
-	l := &t.list[i]
+// note records a failure of the rig itself.
+func (a *site) note(err error) {
+	if err != nil {
+		a.recorder.Add(Event{Kind: FaultInjected, Note: "the rig failed: " + err.Error()})
+	}
+}
+
+// setState changes the state of a far end in the list. It reports false if the far end is in none of the states from.
+func (a *site) setState(i int, from []string, state string) bool {
+	a.listMu.Lock()
+	defer a.listMu.Unlock()
+	l := &a.list[i]
 	if !slices.Contains(from, l.State) {
 		return false
 	}
@@ -275,58 +296,55 @@
 	if state == stateReady {
 		l.StartedAtMs = time.Now().UnixMilli()
 	}
-	t.log.add(*l)
+	a.log.add(*l)
 	return true
 }
 
 // drain takes a far end out of the list in two steps, and brings it back as a new process.
-func (t *trial) drain(i int, lasts time.Duration) {
-	if !t.setState(i, []string{stateReady}, stateDraining) {
+func (a *site) drain(i int, lasts time.Duration) {
+	if !a.setState(i, []string{stateReady}, stateDraining) {
 		return
 	}
 	time.Sleep(max(lasts/2, drainToGone))
-	t.setState(i, []string{stateDraining}, stateGone)
+	a.setState(i, []string{stateDraining}, stateGone)
 	time.Sleep(lasts / 2)
-	t.proxies[i].stop()
-	t.farEnds[i].die()
-	if t.listenAgain(i) {
-		t.setState(i, []string{stateGone}, stateReady)
+	a.proxies[i].stop()
+	a.farEnds[i].die()
+	if a.listenAgain(i) {
+		a.setState(i, []string{stateGone}, stateReady)
 	}
 }
 
 // replaceProcess kills a far end's process, and starts another after a while.
-func (t *trial) replaceProcess(i int, after time.Duration) {
-	t.proxies[i].stop()
-	t.farEnds[i].die()
+func (a *site) replaceProcess(i int, after time.Duration) {
+	a.proxies[i].stop()
+	a.farEnds[i].die()
 	time.Sleep(after)
-	if t.listenAgain(i) {
-		t.setState(i, []string{stateReady}, stateReady)
+	if a.listenAgain(i) {
+		a.setState(i, []string{stateReady}, stateReady)
 	}
 }
 
-func (t *trial) listenAgain(i int) bool {
-	err := t.proxies[i].listen()
-	if err != nil {
-		t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
-	}
+func (a *site) listenAgain(i int) bool {
+	err := a.proxies[i].listen()
+	a.note(err)
 	return err == nil
 }
 
-func (t *trial) breakDiscovery(a *agentSite, mode discoveryMode, lasts time.Duration) {
+func (a *site) breakDiscovery(mode discoveryMode, lasts time.Duration) {
 	a.serverMu.Lock()
 	defer a.serverMu.Unlock() // no new configuration meanwhile
 	server := a.servers[a.server]
-	if err := server.setMode(mode); err == nil {
-		time.Sleep(lasts)
-		err = server.setMode(discoveryServes)
-		if err != nil {
-			t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
-		}
+	if err := server.setMode(mode); err != nil {
+		a.note(err)
+		return
 	}
+	time.Sleep(lasts)
+	a.note(server.setMode(discoveryServes))
 }
 
 // reload brings new configurations in quick succession, each of which moves discovery to the other server.
-func (t *trial) reload(a *agentSite, times int) {
+func (a *site) reload(times int) {
 	a.restartMu.Lock()
 	defer a.restartMu.Unlock()
 	for range times {
@@ -335,17 +353,15 @@
 			a.process.config.Changelog = a.servers[a.server].addr()
 			a.serverMu.Unlock()
 		}
-		if err := a.process.writeConfig(); err != nil {
-			t.recorder.Add(Event{Kind: FaultInjected, Note: err.Error()})
-		}
+		a.note(a.process.writeConfig())
 		a.process.signal(syscall.SIGHUP, signalReload)
 		time.Sleep(reloadPause)
 	}
 }
 
-// restart shuts an agent down and starts it again. Callers go on using their connections until the process is killed, at the
+// restart shuts the agent down and starts it again. Callers go on using their connections until the process is killed, at the
 // earliest time that the protocol allows.
-func (t *trial) restart(a *agentSite) {
+func (a *site) restart() {
 	a.restartMu.Lock()
 	defer a.restartMu.Unlock()
 	a.process.signal(syscall.SIGTERM, signalTerminate)
@@ -356,16 +372,16 @@
 		a.process.signal(syscall.SIGKILL, signalKill)
 		a.process.waitEnded(time.Second)
 	}
-	if err := t.startAgent(a); err != nil {
-		t.recorder.Add(Event{Kind: ProcessEnded, Agent: a.process.name, Value: 1, Note: err.Error()})
+	if err := a.startAgent(); err != nil {
+		a.recorder.Add(Event{Kind: ProcessEnded, Agent: a.process.name, Value: 1, Note: err.Error()})
 	}
 }
 
-// crowd plays many more callers with large set-ups for a while.
-func (t *trial) crowd(a *agentSite, lasts time.Duration) {
-	plan := t.plan.Traffic
-	plan.Callers, plan.Interval, plan.BodySize = min(crowdCallers, t.plan.Sockets/6), setUpsOfACrowd, crowdBodySize
-	more := newCrowd(a.process.name, a.process.config.Listen, plan, t.plan.Seed^0xc0ffee, t.recorder)
+// playCrowd plays many more callers with large set-ups for a while.
+func (a *site) playCrowd(plan Plan, lasts time.Duration) {
+	t := plan.Traffic
+	t.Callers, t.Interval, t.BodySize = min(crowdCallers, plan.Sockets/6), setUpsOfACrowd, crowdBodySize
+	more := newCrowd(a.process.name, a.process.config.Listen, t, plan.Seed^0xc0ffee, a.recorder)
 	more.setAcceptsNew(true)
 	time.AfterFunc(lasts, more.stop)
 	more.run()
@@ -373,10 +389,10 @@
 
 // shutDown ends all agents in an orderly way.
 func (t *trial) shutDown() {
-	for _, a := range t.agents {
+	for _, a := range t.sites {
 		a.process.signal(syscall.SIGTERM, signalTerminate)
 	}
-	for _, a := range t.agents {
+	for _, a := range t.sites {
 		if !a.process.waitEnded(killAfterTerm) {
 			a.process.signal(syscall.SIGKILL, signalKill)
 			a.process.waitEnded(time.Second)
@@ -386,17 +402,17 @@
 
 // stop ends all parties.
 func (t *trial) stop() {
-	for _, a := range t.agents {
+	for _, a := range t.sites {
 		a.process.signal(syscall.SIGKILL, signalKill)
 		for _, d := range a.servers {
 			d.close()
 		}
-	}
-	for i, p := range t.proxies {
-		p.setFault(linkFault{})
-		p.stop()
-		t.farEnds[i].die()
-		_ = t.farEnds[i].listener.Close()
+		for i, p := range a.proxies {
+			p.setFault(linkFault{})
+			p.stop()
+			a.farEnds[i].die()
+			_ = a.farEnds[i].listener.Close()
+		}
 	}
 }
 
