Fault rig: releases are repeated until confirmed; repeated set-ups go through the front

Cause: two ways in which the rig was stricter than the protocol. A set-up that crossed a close was sent again to the agent that was shutting down, which the front does not do. Change: the far end repeats the release on each new connection until it is confirmed; a set-up is sent again only where the front opens connections.

--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -130,8 +130,8 @@
 	c.mu.Lock()
 	accepts := c.acceptsNew
 	c.mu.Unlock()
-	if !accepts && len(again) == 0 {
-		return false
+	if !accepts {
+		return false // the front sends new connections, also those of repeated set-ups, to other agents
 	}
 	raw, err := net.DialTimeout("tcp", c.addr, time.Second)
 	if err != nil {
--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -31,8 +32,9 @@
 	conns       []*farConn
 	attempts    map[*farAttempt]bool
 	free        int
-	made        int      // descriptions made
-	repeats     [][]byte // releases to send on the next connection that is opened
+	made        int               // descriptions made
+	repeats     [][]byte          // releases of set-ups to send on the next connection that is opened
+	unheard     map[string][]byte // releases of calls that the agent has not confirmed, sent on each new connection, by call
 	hangUntil   time.Time
 	errorsUntil time.Time
 }
@@ -64,7 +66,7 @@
 // newFarEnd starts a far end on a free port of the loopback interface.
 func newFarEnd(id string, seed uint64, recorder *Recorder) (*farEnd, error) {
 	f := &farEnd{id: id, recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0xfa)), attempts: map[*farAttempt]bool{},
-		free: circuitsPerSide}
+		free: circuitsPerSide, unheard: map[string][]byte{}}
 	return f, f.listen("127.0.0.1:0")
 }
 
@@ -106,7 +108,7 @@
 	}
 	f.waitWhileHanging()
 	f.mu.Lock()
-	repeats := f.repeats
+	repeats := slices.AppendSeq(f.repeats, maps.Values(f.unheard))
 	f.repeats = nil
 	f.conns = append(f.conns, c)
 	state := f.groupState()
@@ -153,6 +155,10 @@
 		f.mu.Unlock()
 		f.recorder.Add(Event{Kind: SetUpArrived, FarEnd: f.id, Call: m.UID, Connection: c.id})
 		time.AfterFunc(wait, func() { f.complete(a) })
+	case farend.Stopped:
+		f.mu.Lock()
+		delete(f.unheard, m.UID)
+		f.mu.Unlock()
 	case farend.Stop:
 		f.stop(c, m)
 	case farend.Check:
@@ -166,6 +172,7 @@
 // stop ends all attempts and calls with the message's ID, which may have come on any connection.
 func (f *farEnd) stop(c *farConn, m *farend.Message) {
 	f.mu.Lock()
+	delete(f.unheard, m.UID)
 	for a := range f.attempts {
 		if a.call != m.UID {
 			continue
@@ -224,7 +231,8 @@
 	}
 }
 
-// release ends an established call: on the connection of its set-up, else on any open one, and also on the next one opened.
+// release ends an established call: on the connection of its set-up, else on any open one, and also on the next one opened. If
+// that one is lost as well, an agent has no means to ask, so it goes on until the agent confirms it.
 func (f *farEnd) release(a *farAttempt) {
 	f.waitWhileHanging()
 	f.mu.Lock()
@@ -239,7 +247,7 @@
 	if i := slices.Index(conns, a.conn); i > 0 {
 		conns[0], conns[i] = conns[i], conns[0]
 	}
-	f.repeats = append(f.repeats, line.Append(nil))
+	f.unheard[a.call] = line.Append(nil)
 	f.mu.Unlock()
 	for _, c := range conns {
 		if c.writeLine(line) == nil {
@@ -295,6 +303,7 @@
 		f.remove(a)
 	}
 	f.repeats, f.hangUntil, f.free = nil, time.Time{}, circuitsPerSide
+	clear(f.unheard)
 	for _, c := range f.conns {
 		resetConn(c.Conn)
 	}
