Failing test: a set-up that arrives just as its idle connection is closed is lost

Change: 400 connections on which a set-up arrives within 200 microseconds of a close; the peer's TCP state tells whether the set-up was written in time.

--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"slices"
@@ -13,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"tinbeam"
 	"tinbeam/internal/agent"
@@ -31,7 +34,7 @@
 
 // listen starts a listener for s and returns a function that connects a caller to it.
 func listen(t *testing.T, s *Callers) func() net.Conn {
-	l, err := link.Listen("127.0.0.1:0", 10, 64<<10, s.Accept)
+	l, err := link.Listen("127.0.0.1:0", 1000, 64<<10, s.Accept)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -367,3 +370,66 @@
 		})
 	}
 }
+
+// peerClosed reports whether the peer of a connection had closed it when its last write ended.
+func peerClosed(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var info *unix.TCPInfo
+	if err := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	const established = 1
+	return info == nil || info.State != established
+}
+
+// Guards against a lost set-up: one that arrives just as the agent closes an idle connection must be answered, or stay unread, so
+// that its caller gets a reset and may repeat it. One that was read and whose connection just ends is lost.
+func TestSetUpThatArrivesAtAClose(t *testing.T) {
+	const connections = 400
+	s := newCallersWithClock(agent.SystemClock(), 10*connections)
+	connect := listen(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.core.Run(ctx)
+	s.core.Post(func() {
+		s.Drain(&DrainSchedule{})
+		s.drainRefusing = true // from then on set-ups are refused at once
+	})
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range connections {
+		c := connect()
+		id := fmt.Sprintf("%016x", i)
+		c.Write((&sip.Message{Method: "OPTIONS", URI: "sip:ping@net", Headers: []sip.Header{
+			{Name: "Call-ID", Value: id}}}).Append(nil))
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if _, err := c.Read(make([]byte, 4096)); err != nil {
+			t.Fatal(err)
+		}
+		s.core.Post(func() {
+			s.drainClosing = true
+			s.closeIdle()
+			s.drainClosing = false
+		})
+		for end := time.Now().Add(time.Duration(rng.IntN(200)) * time.Microsecond); time.Now().Before(end); {
+		}
+		_, err := c.Write(newInvite(id, "check", "9000", "dest:1", "v=0").Append(nil))
+		if err != nil || peerClosed(t, c) {
+			continue
+		}
+		s.core.Post(func() { s.drainClosing = true }) // the connection is closed after the answer
+		got, err := io.ReadAll(c)
+		s.core.Post(func() { s.drainClosing = false })
+		if err == nil && !bytes.Contains(got, []byte("SIP/2.0 503 ")) {
+			t.Fatalf("connection %d ended without an answer to the set-up that was read; received %q", i, got)
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("the connection was neither answered on nor closed")
+		}
+	}
+}
