Callers: a set-up that arrives just as its idle connection is closed is no longer lost

Callers saw: during shutdowns and drains a connection ended with no answer to a set-up that the agent had read. Cause: an idle connection was closed through the writing goroutine, up to 7 ms after the decision; netpoll went on reading, and what it read was dropped. Class: a check and the act that relies on it, with the checked state changing in between. A check just before the close still lost one within 175 closes, since netpoll may be inside a read. Change: a connection is closed in two steps. PauseReading raises the socket's low-water mark, so that later messages stay in the kernel; once a read under way has ended, CloseIfIdle checks kernel, buffer, handler and queue, in the order in which bytes move, and closes at once. What comes later is unread, so its caller gets a reset and may repeat it. Shutdown refuses new set-ups, closes its listening socket and tries every 2 ms until the last 50 ms have passed. Drains and evictions use the same functions. TestDrain expected connections to be closed in the same call as the last answer; they are now closed once it is written, so the test waits for that with the same conditions.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -30,7 +30,8 @@
 	refuseDelay           = 300 * time.Millisecond // after the longest deadline: new calls are refused, 0.4 s before SIGKILL
 	failPendingDelay      = 550 * time.Millisecond // after the longest deadline: calls still pending are failed
 	closeDelay            = 570 * time.Millisecond // after the longest deadline: the connections are closed
-	flushDelay            = 50 * time.Millisecond  // from then to the end of the agent; the last messages must reach the kernel
+	flushDelay            = 50 * time.Millisecond  // from then to the end of the agent, at the latest
+	closeRetryInterval    = 2 * time.Millisecond   // how often it is tried to close connections on which something is under way
 	runtimeGaugeInterval  = time.Second
 	openCallsPollInterval = 20 * time.Millisecond // how often it is checked whether calls are still open
 )
@@ -61,6 +62,7 @@
 	draining     atomic.Bool           // operators have drained the callers
 	remoteWriter *metrics.RemoteWriter // nil without remote write
 	shuttingDown bool                  // used on the loop only
+	closing      bool                  // closeAll has been called; used on the loop only
 	once         struct{ ready, shutdown sync.Once }
 	ctx          context.Context
 	stop         context.CancelFunc // ends Run
@@ -328,16 +330,10 @@
 			for _, k := range a.core.Settings.Classes {
 				longest = max(longest, min(k.HardLimit, maxDeadline))
 			}
-			closeAll := func() {
-				a.listener.RejectNew()
-				a.farEnds.Close()
-				a.callers.Close()
-				a.loop.After(flushDelay, a.stop)
-			}
 			var poll func()
 			poll = func() {
 				if a.core.OpenCalls() == 0 && a.callers.OpenCalls() == 0 {
-					closeAll()
+					a.closeAll()
 					return
 				}
 				a.loop.After(openCallsPollInterval, poll)
@@ -345,10 +341,32 @@
 			a.loop.After(minShutdownTime, poll)
 			a.loop.After(longest+refuseDelay, a.callers.RefuseNewCalls)
 			a.loop.After(longest+failPendingDelay, a.core.FailPending)
-			a.loop.After(longest+closeDelay, closeAll)
+			a.loop.After(longest+closeDelay, a.closeAll)
 		})
 	})
 }
 
+// closeAll closes all connections and ends the agent. New set-ups are refused; connections are closed when nothing is under way on
+// them, and the last ones with the end of the process.
+func (a *App) closeAll() {
+	if a.closing {
+		return
+	}
+	a.closing = true
+	a.listener.RejectNew()
+	a.callers.RefuseNewCalls()
+	a.farEnds.Close()
+	a.loop.After(flushDelay, a.stop)
+	var closeConnections func()
+	closeConnections = func() {
+		if a.callers.CloseConnections() == 0 {
+			a.stop()
+			return
+		}
+		a.loop.After(closeRetryInterval, closeConnections)
+	}
+	closeConnections()
+}
+
 // Kill stops the agent immediately.
 func (a *App) Kill() { a.stop() }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,15 +15,20 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 const (
-	maxQueued        = 256 << 10       // bytes that may be queued for a peer that does not read
-	maxWrite         = 32 << 10        // bytes handed to the kernel at once; messages queued behind them can still be withdrawn
-	maxInput         = 1<<20 + 64      // bytes buffered of an incomplete message; the parsers' own limits are lower
-	maxChunk         = 32 << 10        // bytes of input passed to the handler at once
-	maxReceiveBuffer = 64 << 10        // kernel receive buffer of an accepted connection, in bytes
-	writeTimeout     = 3 * time.Second // a peer that reads nothing for this long is considered gone
+	maxQueued        = 256 << 10  // bytes that may be queued for a peer that does not read
+	maxWrite         = 32 << 10   // bytes handed to the kernel at once; messages queued behind them can still be withdrawn
+	maxInput         = 1<<20 + 64 // bytes buffered of an incomplete message; the parsers' own limits are lower
+	maxChunk         = 32 << 10   // bytes of input passed to the handler at once
+	maxReceiveBuffer = 64 << 10   // kernel receive buffer of an accepted connection, in bytes
+	// receive low-water mark of a socket whose reading is paused, in bytes; the kernel allows up to half of the buffer
+	pausedLowWaterMark = maxReceiveBuffer / 2
+	pauseLimit         = 50 * time.Millisecond // reading is resumed after this
+	readTime           = 2 * time.Millisecond  // netpoll has ended a read that was under way after this
+	writeTimeout       = 3 * time.Second       // a peer that reads nothing for this long is considered gone
 )
 
 // SendHandle allows a sent message to be withdrawn until it has been handed to the kernel. Counter, if set, is incremented
@@ -58,6 +63,8 @@
 	np           netpoll.Connection
 	handler      Handler
 	input        []byte
+	handling     atomic.Bool  // the handler is being called
+	pausedAt     atomic.Int64 // time, from clock, since which reading has been paused; 0: it is not
 	partialSince atomic.Int64 // time, from clock, since which an incomplete message has been buffered; 0: none
 
 	mu         sync.Mutex
@@ -66,12 +73,13 @@
 	queued     int
 	maxQueued  int  // limit on queued bytes
 	writing    bool // the writing goroutine has been started, at the first message
+	flushing   bool // the writing goroutine has taken a batch and not finished it
 	closing    bool // no more messages are accepted; closes once the queue has been written
 	closed     bool
 	closedOnce sync.Once
 
-	outputMu   sync.Mutex // guards netpoll's output buffer against being freed while a message is added to it
-	outputGone bool       // netpoll frees the output buffer
+	outputMu   sync.Mutex // guards netpoll's output buffer and descriptor against being released while they are used
+	outputGone bool       // netpoll releases them
 }
 
 type message struct {
@@ -264,8 +272,15 @@
 // open connections stay.
 func (l *Listener) StopAccepting() { l.ln.stopped.Store(true) }
 
-// RejectNew closes every further connection as soon as it is accepted; open connections stay.
-func (l *Listener) RejectNew() { l.maxConns.Store(0) }
+// RejectNew stops listening, so that new connections are refused, or left to the other processes that hold an inherited socket.
+// Open connections stay.
+func (l *Listener) RejectNew() {
+	l.maxConns.Store(0)
+	l.StopAccepting()
+	if !l.inherited {
+		_ = syscall.Shutdown(l.ln.Fd(), syscall.SHUT_RDWR)
+	}
+}
 
 // Close stops listening and closes all accepted connections.
 func (l *Listener) Close() {
@@ -278,6 +293,8 @@
 }
 
 func (c *Conn) onRequest(_ context.Context, np netpoll.Connection) error {
+	c.handling.Store(true)
+	defer c.handling.Store(false)
 	r := np.Reader()
 	n := r.Len()
 	if n == 0 {
@@ -371,6 +388,81 @@
 	c.mu.Unlock()
 }
 
+// CloseIfIdle closes the connection at once if nothing is under way on it: all queued messages have been written, nothing has
+// been received that the handler has not consumed, and handled, which is called last, reports that what the handler has consumed
+// was dealt with. CloseIfIdle reports whether it closed the connection. What arrives after the check stays unread, so that the
+// peer gets a reset for it: it can tell that nobody acted on it. Without an earlier PauseReading, a message that is being read
+// at that moment can be missed.
+func (c *Conn) CloseIfIdle(handled func() bool) bool {
+	c.mu.Lock()
+	idle := !c.closed && !c.flushing && len(c.queue) == 0
+	c.mu.Unlock()
+	if !idle || c.inputPending() || !handled() {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// inputPending reports whether something has been received that the handler has not consumed.
+func (c *Conn) inputPending() bool {
+	pending := false
+	c.withSocket(func(conn netpoll.Conn) {
+		// In the order in which bytes move, so that they cannot pass by the checks.
+		pending = unreadBytes(conn) > 0 || c.np.Reader().Len() > 0 || c.handling.Load() || c.partialSince.Load() != 0
+	})
+	return pending
+}
+
+// PauseReading leaves what arrives from now on in the kernel, until ResumeReading or pauseLimit. What netpoll is reading at this
+// moment becomes visible to CloseIfIdle within readTime.
+func (c *Conn) PauseReading() {
+	if c.pausedAt.CompareAndSwap(0, int64(clock())) {
+		// With a high mark the socket does not become readable for what is as short as a message.
+		c.setLowWaterMark(pausedLowWaterMark)
+		time.AfterFunc(pauseLimit, c.ResumeReading)
+	}
+}
+
+// ResumeReading ends a pause.
+func (c *Conn) ResumeReading() {
+	if c.pausedAt.Swap(0) != 0 {
+		c.setLowWaterMark(1)
+	}
+}
+
+// ReadingPaused reports whether reading has been paused for so long that nothing is being read any more.
+func (c *Conn) ReadingPaused() bool {
+	at := c.pausedAt.Load()
+	return at != 0 && clock()-time.Duration(at) >= readTime
+}
+
+// setLowWaterMark sets how many bytes must have arrived for the socket to become readable. It has no effect where the system does
+// not support it.
+func (c *Conn) setLowWaterMark(bytes int) {
+	c.withSocket(func(conn netpoll.Conn) {
+		_ = unix.SetsockoptInt(conn.Fd(), unix.SOL_SOCKET, unix.SO_RCVLOWAT, bytes)
+	})
+}
+
+// withSocket calls fn unless the socket has been closed, and keeps netpoll from closing it meanwhile.
+func (c *Conn) withSocket(fn func(netpoll.Conn)) {
+	c.outputMu.Lock()
+	defer c.outputMu.Unlock()
+	if conn, ok := c.np.(netpoll.Conn); ok && !c.outputGone {
+		fn(conn)
+	}
+}
+
+// unreadBytes returns how many bytes the kernel holds that netpoll has not read.
+func unreadBytes(conn netpoll.Conn) int {
+	n, err := unix.IoctlGetInt(conn.Fd(), unix.SIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Close closes the connection at once and drops queued messages.
 func (c *Conn) Close() {
 	c.markClosed()
@@ -393,6 +485,7 @@
 func (c *Conn) nextBatch() []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.flushing = false
 	for {
 		var batch []byte
 		n := 0
@@ -414,6 +507,7 @@
 		case c.closed:
 			return nil
 		case len(batch) > 0:
+			c.flushing = true
 			return batch
 		case len(c.queue) > 0:
 			continue
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -23,11 +23,12 @@
 )
 
 const (
-	ackTimeout       = time.Second            // a call whose answer crossed a CANCEL is released if no ACK arrives in this time
-	byeRetryInterval = 300 * time.Millisecond // how often the releases and the idle connections are checked
-	byeTTL           = 8 * time.Second        // a release not confirmed within this time is dropped
-	finishedTTL      = 30 * time.Second       // how long the Call-ID of a finished call is remembered
-	maxFinished      = 20000                  // finished calls remembered at most
+	ackTimeout         = time.Second            // a call whose answer crossed a CANCEL is released if no ACK arrives in this time
+	byeRetryInterval   = 300 * time.Millisecond // how often the releases and the idle connections are checked
+	byeTTL             = 8 * time.Second        // a release not confirmed within this time is dropped
+	finishedTTL        = 30 * time.Second       // how long the Call-ID of a finished call is remembered
+	closeRetryInterval = 5 * time.Millisecond   // how often a drain tries to close connections that are in use
+	maxFinished        = 20000                  // finished calls remembered at most
 
 	// Limits of one connection. Regular callers stay far below them, and they are the same for every caller.
 	readTimeout        = 2 * time.Second        // from the accept, or the first byte of a message, until the message is complete
@@ -49,6 +50,7 @@
 	stopping         bool                // the agent is about to exit and refuses new calls
 	drain            *DrainSchedule      // the drain in progress; nil: callers are accepted
 	drainClosing     bool                // CloseAfter of the drain has passed
+	closeScheduled   bool                // closeIdle runs again soon
 	drainRefusing    bool                // RefuseAfter of the drain has passed
 	softConnLimit    int                 // above this many connections, each new one evicts one without a call
 	legBytes         int                 // bytes of the set-ups in legs
@@ -163,26 +165,57 @@
 	})
 }
 
+// closeIdle closes what a drain may close now, and tries again soon as long as the drain closes connections.
 func (s *Callers) closeIdle() {
 	for _, c := range slices.Clone(s.conns) {
 		c.closeIfIdle()
 	}
+	if s.drain != nil && s.drainClosing && !s.closeScheduled && len(s.conns) > 0 {
+		s.closeScheduled = true
+		s.core.After(closeRetryInterval, func() {
+			s.closeScheduled = false
+			s.closeIdle()
+		})
+	}
 }
 
 // closeIfIdle closes a connection with no set-up pending on it, once a drain closes connections.
 func (c *callerConn) closeIfIdle() {
-	if s := c.callers; s.drain != nil && s.drainClosing && !c.closed && c.pending == 0 && c.queued.Load() == 0 && c.gotMessage {
-		c.link.CloseAfterFlush()
-		c.tearDown()
+	if s := c.callers; s.drain != nil && s.drainClosing && c.gotMessage {
+		c.closeWithoutLoss()
+	}
+}
+
+// closeWithoutLoss begins to close a connection, or closes it, unless a set-up on it is pending, something has been received on it
+// that was not handled yet, or an answer is still to be written. It has to be called again until the connection is closed.
+func (c *callerConn) closeWithoutLoss() {
+	switch {
+	case c.closed:
+	case c.pending > 0 || c.queued.Load() > 0:
+		c.link.ResumeReading()
+	case !c.link.ReadingPaused():
+		c.link.PauseReading()
+	case c.closeIfHandled():
+	default:
+		c.link.ResumeReading()
 	}
 }
 
-// Close closes all connections once their queued data has been written.
-func (s *Callers) Close() {
+// closeIfHandled closes a connection at once if all that was received on it has been handled, and reports whether it did.
+func (c *callerConn) closeIfHandled() bool {
+	if c.pending > 0 || !c.link.CloseIfIdle(func() bool { return c.queued.Load() == 0 }) {
+		return false
+	}
+	c.tearDown()
+	return true
+}
+
+// CloseConnections closes the connections on which nothing is under way, and returns how many are left.
+func (s *Callers) CloseConnections() int {
 	for _, c := range slices.Clone(s.conns) {
-		c.link.CloseAfterFlush()
-		c.tearDown()
+		c.closeWithoutLoss()
 	}
+	return len(s.conns)
 }
 
 // OpenCalls returns how many calls wait for their final answer, are established, or have ended without their caller having
@@ -240,18 +273,14 @@
 // call. This keeps capacity for regular callers when others only hold connections open. A connection with an established
 // call is kept, since the call's release must reach its caller, who may have no other connection.
 func (s *Callers) evict() {
-	var victim *callerConn
-	for _, c := range s.conns {
-		if len(c.legs) == 0 && c.queued.Load() == 0 && s.core.Now()-c.lastMessageAt >= minIdleToEvict &&
-			(victim == nil || victim.gotMessage && !c.gotMessage) {
-			victim = c
+	for _, silent := range []bool{true, false} {
+		for _, c := range s.conns {
+			if c.gotMessage != silent && len(c.legs) == 0 && s.core.Now()-c.lastMessageAt >= minIdleToEvict && c.closeIfHandled() {
+				s.core.Metrics.CallersEvicted.Inc()
+				return
+			}
 		}
 	}
-	if victim != nil {
-		s.core.Metrics.CallersEvicted.Inc()
-		victim.link.Close()
-		victim.tearDown()
-	}
 }
 
 // tearDown marks a connection as closed and abandons the set-ups pending on it. A set-up that crosses a close by the agent,
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -188,6 +188,13 @@
 		now += d
 		s.core.Step()
 	}
+	// closes waits until a connection is closed, which happens once its answers have been written and nothing is read any more.
+	closes := func(c *callerConn) bool {
+		for end := time.Now().Add(20 * time.Second); !c.closed && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			pass(closeRetryInterval)
+		}
+		return c.closed
+	}
 	offer := func(c *callerConn, id string) {
 		s.handleInvite(c, id, newInvite(id, "check", "9000", "dest:1", "v=0"))
 	}
@@ -210,11 +217,11 @@
 		t.Error("idle connection closed before CloseAfter")
 	}
 	pass(500 * time.Millisecond)
-	if !idle.closed || busy.closed || last.closed {
+	if !closes(idle) || busy.closed || last.closed {
 		t.Errorf("closed: idle %t, busy %t, last %t", idle.closed, busy.closed, last.closed)
 	}
 	s.core.Fail(s.legs["9b1f03aa5c7e2d41"].call)
-	if !busy.closed {
+	if !closes(busy) {
 		t.Error("not closed after its last answer")
 	}
 	pass(time.Second)
@@ -223,7 +230,7 @@
 		t.Error("a set-up was accepted after RefuseAfter")
 	}
 	pass(time.Second)
-	if len(s.conns) != 0 || s.core.PendingCalls() != 0 {
+	if !closes(last) || len(s.conns) != 0 || s.core.PendingCalls() != 0 {
 		t.Errorf("%d connections, %d calls pending", len(s.conns), s.core.PendingCalls())
 	}
 	got, err := io.ReadAll(peers[1])
@@ -398,6 +405,7 @@
 	defer cancel()
 	go s.core.Run(ctx)
 	s.core.Post(func() {
+		s.SetReady()
 		s.Drain(&DrainSchedule{})
 		s.drainRefusing = true // from then on set-ups are refused at once
 	})
@@ -422,7 +430,10 @@
 		if err != nil || peerClosed(t, c) {
 			continue
 		}
-		s.core.Post(func() { s.drainClosing = true }) // the connection is closed after the answer
+		s.core.Post(func() { // the connection is closed after the answer
+			s.drainClosing = true
+			s.closeIdle()
+		})
 		got, err := io.ReadAll(c)
 		s.core.Post(func() { s.drainClosing = false })
 		if err == nil && !bytes.Contains(got, []byte("SIP/2.0 503 ")) {
