--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -304,3 +305,87 @@
 	}
 	clients.Wait()
 }
+
+// slowHandler consumes its input slowly, like one that waits for the loop.
+type slowHandler struct{ closed chan struct{} }
+
+func (h slowHandler) Data(_ *Conn, b []byte) (int, error) {
+	time.Sleep(2 * time.Millisecond)
+	return len(b), nil
+}
+func (h slowHandler) Closed(*Conn) { close(h.closed) }
+
+// Guards against memory without a bound: a peer that sends faster than the handler consumes must not fill the memory, on a
+// connection that was dialed as little as on one that was accepted.
+func TestMemoryOfUnhandledInput(t *testing.T) {
+	const floodTime, limit = time.Second, 24 << 20
+	flood := func(c net.Conn) {
+		defer c.Close()
+		b := make([]byte, 64<<10)
+		for end := time.Now().Add(floodTime); time.Now().Before(end); {
+			_ = c.SetWriteDeadline(end)
+			if _, err := c.Write(b); err != nil {
+				return
+			}
+		}
+	}
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse
+	}
+	peak := func(before uint64, done chan struct{}) uint64 {
+		highest := before
+		for {
+			select {
+			case <-done:
+				return highest - before
+			case <-time.After(5 * time.Millisecond):
+				highest = max(highest, heap())
+			}
+		}
+	}
+	handler := slowHandler{make(chan struct{})}
+	for name, connect := range map[string]func() net.Conn{
+		"dialed": func() net.Conn {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			if _, err := Dial(ln.Addr().String(), time.Second, handler); err != nil {
+				t.Fatal(err)
+			}
+			peer, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return peer
+		},
+		"accepted": func() net.Conn {
+			l, err := Listen("127.0.0.1:0", 10, 64<<10, func(*Conn) Handler { return handler })
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.Serve()
+			t.Cleanup(l.Close)
+			c, err := net.Dial("tcp", l.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c
+		},
+	} {
+		handler = slowHandler{make(chan struct{})}
+		runtime.GC()
+		before, done := heap(), make(chan struct{})
+		peer := connect()
+		go func() {
+			flood(peer)
+			close(done)
+		}()
+		if used := peak(before, done); used > limit {
+			t.Errorf("%s: %d MB used for the input of one connection, want at most %d", name, used>>20, limit>>20)
+		}
+	}
+}
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -318,3 +320,44 @@
 	}
 	f.next(farend.Stop)
 }
+
+// Guards against memory without a bound: a far end that sends valid lines faster than they are handled must not fill the memory,
+// and must be usable again afterwards.
+func TestFloodingFarEnd(t *testing.T) {
+	const floodTime, limit = time.Second, 24 << 20
+	f := newFarEndFixture(t)
+	conns := f.open()
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse
+	}
+	runtime.GC()
+	before, peak := heap(), uint64(0)
+	f.core.Post(func() { time.Sleep(floodTime) }) // the loop is busy
+	for _, c := range conns {
+		go func() {
+			m := farend.Message{Kind: farend.Usage, UID: testCallID, Meta: map[string]string{
+				"load": "x0:10;x1:10", "filler": strings.Repeat("x", 15<<10)}}
+			line := m.Append(nil)
+			for end := time.Now().Add(floodTime); time.Now().Before(end); {
+				_ = c.SetWriteDeadline(end)
+				if _, err := c.Write(line); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	for end := time.Now().Add(floodTime); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		peak = max(peak, heap())
+	}
+	if used := peak - before; used > limit {
+		t.Errorf("%d MB used, want at most %d", used>>20, limit>>20)
+	}
+	f.offer()
+	launch := f.next(farend.Launch)
+	launch.conn.send(farend.Running, "v=0", 0)
+	if got := f.nextAnswer(); got != "answer v=0" {
+		t.Errorf("the caller got %q", got)
+	}
+}
