Bounds on what is received and not handled, for every kind of peer

Cause: netpoll goes on reading while a handler waits, and handlers waited for a full event queue; only callers were limited before the queue. Class: back pressure that stops at a layer which does not pass it on. Change: the event queue never blocks and keeps one order (PostNonBlocking handled late events out of order); instead each producer has a bound: 256 KiB of lines for each connection to a far end, 4 MiB of events of the change log, 1,024 MGCP datagrams, and as before 256 messages a caller's connection and 1/16 of the memory. A connection with over 1 MiB read and not consumed is closed, whoever opened it; a far end that flooded is connected to again after 1 s. Dialed sockets have the receive buffer of accepted ones. Counters links_flooded_total, list_flooded_total, mgcp_dropped_total.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"sync"
 	"time"
 )
 
@@ -36,21 +35,14 @@
 type Loop struct {
 	clock  func() time.Duration
 	now    time.Duration
-	queue  chan func()
+	queue  *eventQueue
 	timers timerHeap
 	seq    uint64
-
-	mu       sync.Mutex
-	overflow []func() // events posted without blocking while the queue was full
 }
 
-// maxQueued is the capacity of the event queue. A callback that finds the queue full blocks, and so in turn does its peer:
-// a flood of messages is held back by the socket buffers, and no event is lost.
-const maxQueued = 4096
-
 // NewLoop returns a loop driven by the given clock, which counts from the Unix epoch.
 func NewLoop(clock func() time.Duration) *Loop {
-	return &Loop{clock: clock, now: clock(), queue: make(chan func(), maxQueued)}
+	return &Loop{clock: clock, now: clock(), queue: newEventQueue()}
 }
 
 // SystemClock returns a clock that starts at the current system time and advances with the monotonic clock, so that it never
@@ -61,38 +53,12 @@
 	return func() time.Duration { return unix + time.Since(start) }
 }
 
-// Post queues an event and blocks while the queue is full. Other goroutines may call only this method and
-// PostNonBlocking.
-func (l *Loop) Post(fn func()) { l.queue <- fn }
-
-// PostNonBlocking queues an event that occurs at most once for its source, such as the end of a connection, and never
-// blocks. The loop may itself close a connection while the queue is full; with Post it would then wait for itself forever.
-// The event is handled after those already in the queue.
-func (l *Loop) PostNonBlocking(fn func()) {
-	select {
-	case l.queue <- fn:
-	default:
-		l.mu.Lock()
-		l.overflow = append(l.overflow, fn)
-		l.mu.Unlock()
-	}
-}
-
-// runOverflow handles the events that did not fit into the queue, and reports whether there were any. Step calls it once the
-// queue is empty.
-func (l *Loop) runOverflow() bool {
-	l.mu.Lock()
-	events := l.overflow
-	l.overflow = nil
-	l.mu.Unlock()
-	for _, fn := range events {
-		fn()
-	}
-	return len(events) > 0
-}
+// Post queues an event and never blocks. Other goroutines may call only this method. Who posts events of a peer limits how many
+// of them, and how many bytes, are in the queue.
+func (l *Loop) Post(fn func()) { l.queue.add(fn) }
 
 // Queued returns the length of the event queue.
-func (l *Loop) Queued() int { return len(l.queue) }
+func (l *Loop) Queued() int { return l.queue.length() }
 
 // Now returns the time at which the current event is handled.
 func (l *Loop) Now() time.Duration { return l.now }
@@ -123,14 +89,9 @@
 			heap.Pop(&l.timers).(*Timer).fn()
 			continue
 		}
-		select {
-		case fn := <-l.queue:
+		if fn := l.queue.next(); fn != nil {
 			fn()
 			continue
-		default:
-		}
-		if l.runOverflow() {
-			continue
 		}
 		if len(l.timers) == 0 {
 			return 0, false
@@ -150,9 +111,7 @@
 		}
 		timer.Reset(wait)
 		select {
-		case fn := <-l.queue:
-			l.now = max(l.now, l.clock())
-			fn()
+		case <-l.queue.added:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -189,7 +189,7 @@
 		a.Metrics.Drains.Inc()
 	}
 	a.log.Info("drain", zap.Bool("callers are sent away", on))
-	a.loop.PostNonBlocking(func() {
+	a.loop.Post(func() {
 		switch {
 		case a.shuttingDown:
 		case a.draining.Load():
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,8 +22,9 @@
 	maxQueued        = 256 << 10  // bytes that may be queued for a peer that does not read
 	maxWrite         = 32 << 10   // bytes handed to the kernel at once; messages queued behind them can still be withdrawn
 	maxInput         = 1<<20 + 64 // bytes buffered of an incomplete message; the parsers' own limits are lower
+	maxUnhandled     = 1 << 20    // bytes received that the handler has not consumed, the incomplete message not counted
 	maxChunk         = 32 << 10   // bytes of input passed to the handler at once
-	maxReceiveBuffer = 64 << 10   // kernel receive buffer of an accepted connection, in bytes
+	maxReceiveBuffer = 64 << 10   // kernel receive buffer of a connection, in bytes
 	// receive low-water mark of a socket whose reading is paused, in bytes; the kernel allows up to half of the buffer
 	pausedLowWaterMark = maxReceiveBuffer / 2
 	pauseLimit         = 50 * time.Millisecond // reading is resumed after this
@@ -64,6 +65,7 @@
 	handler      Handler
 	input        []byte
 	handling     atomic.Bool  // the handler is being called
+	flooded      atomic.Bool  // the connection was closed since its peer sent faster than the handler consumes
 	pausedAt     atomic.Int64 // time, from clock, since which reading has been paused; 0: it is not
 	partialSince atomic.Int64 // time, from clock, since which an incomplete message has been buffered; 0: none
 
@@ -124,6 +126,7 @@
 		return nil, err
 	}
 	c := newConn(np, maxQueued, func(*Conn) Handler { return handler })
+	c.withSocket(func(conn netpoll.Conn) { setReceiveBuffer(conn.Fd()) })
 	if err := np.SetOnRequest(c.onRequest); err != nil {
 		c.Close()
 		return nil, err
@@ -183,13 +186,14 @@
 	return newListener(ln, true, maxConns, maxQueued, accept)
 }
 
-// limitReceiveBuffer limits the kernel's receive buffer of a listening socket, and so of all connections accepted from it.
-// Without this, memory has no bound: netpoll reads everything that the kernel has, in ever larger blocks, even if earlier
-// data has not been handled yet.
+// limitReceiveBuffer limits the kernel's receive buffer of a listening socket, and so of all connections accepted from it: netpoll
+// reads everything that the kernel has, in ever larger blocks, even if earlier data has not been handled yet.
 func limitReceiveBuffer(raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxReceiveBuffer)
-	})
+	return raw.Control(func(fd uintptr) { setReceiveBuffer(int(fd)) })
+}
+
+func setReceiveBuffer(fd int) {
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxReceiveBuffer)
 }
 
 func newListener(ln net.Listener, inherited bool, maxConns, maxQueued int, accept func(*Conn) Handler) (*Listener, error) {
@@ -306,20 +310,14 @@
 	}
 	// The handler gets the input in chunks, so that the buffer stays small however much was read.
 	for len(b) > 0 && !c.isClosing() {
+		// netpoll goes on reading while the handler works, and cannot be told to wait.
+		if len(b)+r.Len() > maxUnhandled {
+			c.CloseFlooded()
+			break
+		}
 		n := min(len(b), maxChunk)
-		c.input = append(c.input, b[:n]...)
+		c.handle(b[:n])
 		b = b[n:]
-		used, err := c.handler.Data(c, c.input)
-		used = min(max(used, 0), len(c.input))
-		c.input = append(c.input[:0], c.input[used:]...)
-		if err != nil || len(c.input) > maxInput {
-			c.CloseAfterFlush()
-		}
-		if len(c.input) == 0 {
-			c.partialSince.Store(0)
-		} else if used > 0 || c.partialSince.Load() == 0 {
-			c.partialSince.Store(int64(clock()))
-		}
 	}
 	if c.isClosing() || len(c.input) == 0 && cap(c.input) > 2*maxChunk {
 		c.input = nil
@@ -328,6 +326,31 @@
 	return nil
 }
 
+// handle adds b to the input and passes it to the handler.
+func (c *Conn) handle(b []byte) {
+	c.input = append(c.input, b...)
+	used, err := c.handler.Data(c, c.input)
+	used = min(max(used, 0), len(c.input))
+	c.input = append(c.input[:0], c.input[used:]...)
+	if err != nil || len(c.input) > maxInput {
+		c.CloseAfterFlush()
+	}
+	if len(c.input) == 0 {
+		c.partialSince.Store(0)
+	} else if used > 0 || c.partialSince.Load() == 0 {
+		c.partialSince.Store(int64(clock()))
+	}
+}
+
+// Flooded reports whether the connection was closed because its peer sends faster than the handler consumes.
+func (c *Conn) Flooded() bool { return c.flooded.Load() }
+
+// CloseFlooded closes the connection because its peer sends faster than its messages are handled.
+func (c *Conn) CloseFlooded() {
+	c.flooded.Store(true)
+	c.Close()
+}
+
 func (c *Conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,7 +49,8 @@
 	MGCPIn, MGCPOut, MGCPResent, MGCPReplayed, MGCPRestarts         *Counter
 	PushesOK, PushesFailed                                          *Counter
 	MemoryInUse, Goroutines                                         *Counter
-	StaleLines, AttemptsAmbiguous                                   *Counter
+	StaleLines, AttemptsAmbiguous, LinksFlooded, ListFlooded        *Counter
+	MGCPDropped                                                     *Counter
 
 	all     []*Counter
 	mu      sync.Mutex
@@ -144,6 +145,9 @@
 	add(&s.StaleLines, "stale_lines_total", "lines from far ends about an earlier attempt of a call, which were ignored")
 	add(&s.AttemptsAmbiguous, "attempts_ambiguous_total",
 		"attempts given up since a release may have been theirs or an earlier attempt's")
+	add(&s.LinksFlooded, "links_flooded_total", "connections to far ends closed since lines came faster than they were handled")
+	add(&s.ListFlooded, "list_flooded_total", "connections to the change log closed since events came faster than they were handled")
+	add(&s.MGCPDropped, "mgcp_dropped_total", "MGCP datagrams dropped since they came faster than they were handled")
 	gauge(&s.MemoryInUse, "memory_bytes", "memory that the Go runtime holds from the system now")
 	gauge(&s.Goroutines, "goroutines", "goroutines now")
 	add(&s.PushesFailed, "remote_writes_failed_total", "remote writes that failed")
--- a/internal/mgcp/udp.go
+++ b/internal/mgcp/udp.go
@@ -4,11 +4,15 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"tinbeam/internal/agent"
 	"tinbeam/internal/metrics"
 )
 
+// maxQueuedDatagrams is how many datagrams may have been received and not handled yet; further ones are dropped.
+const maxQueuedDatagrams = 1024
+
 // Socket is the UDP socket of the front end. It does not use netpoll, since netpoll 0.7 does not support datagrams
 // (TestNetpollHasNoDatagrams checks this). Instead, one goroutine reads the socket and posts to the core's loop, as the
 // callbacks of connections do.
@@ -36,6 +40,7 @@
 
 // Serve reads datagrams and posts each to the loop, where handle is called, until the socket is closed.
 func (s *Socket) Serve(loop *agent.Loop, counters *metrics.Set, handle func(netip.AddrPort, []byte)) {
+	var queued atomic.Int32
 	buf := make([]byte, MaxDatagram+1)
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
@@ -46,9 +51,17 @@
 			counters.Malformed.Inc()
 			continue
 		}
+		if queued.Load() >= maxQueuedDatagrams {
+			counters.MGCPDropped.Inc() // as if it had been lost: the gateway sends it again
+			continue
+		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		b := append([]byte(nil), buf[:n]...)
-		loop.Post(func() { handle(from, b) })
+		queued.Add(1)
+		loop.Post(func() {
+			queued.Add(-1)
+			handle(from, b)
+		})
 	}
 }
 
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -389,7 +389,7 @@
 }
 
 // Closed handles the end of the connection.
-func (c *callerConn) Closed(*link.Conn) { c.callers.core.PostNonBlocking(c.tearDown) }
+func (c *callerConn) Closed(*link.Conn) { c.callers.core.Post(c.tearDown) }
 
 // markActive moves a connection to the end of conns, which is ordered by the time of the last message.
 func (c *callerConn) markActive() {
--- a/internal/platform/changelog_client.go
+++ b/internal/platform/changelog_client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 	changeLogIdleTimeout   = 2300 * time.Millisecond // the change log sends an empty frame every second
 	changeLogDialTimeout   = time.Second
 	changeLogRetryInterval = 200 * time.Millisecond
+	maxQueuedEventBytes    = 4 << 20 // bytes of events that were received and not handled yet: four lists of the largest size
 )
 
 // ChangeLogClient follows the change log and passes its events on to the far-end side.
@@ -30,9 +32,10 @@
 }
 
 type changeLogConn struct {
-	client *ChangeLogClient
-	link   *link.Conn
-	closed bool
+	client      *ChangeLogClient
+	link        *link.Conn
+	closed      bool
+	queuedBytes atomic.Int64 // bytes of events received and not handled yet
 }
 
 // NewChangeLogClient applies the initial events and follows the change log from there. With an empty address it does not
@@ -120,7 +123,7 @@
 }
 
 // Data parses frames and posts each event to the core's loop.
-func (c *changeLogConn) Data(_ *link.Conn, b []byte) (int, error) {
+func (c *changeLogConn) Data(l *link.Conn, b []byte) (int, error) {
 	used := 0
 	for {
 		e, n, err := changelog.Parse(b[used:])
@@ -132,7 +135,15 @@
 			return used, nil
 		}
 		used += n
-		c.client.core.Post(func() { c.handleEvent(e) })
+		if c.queuedBytes.Add(int64(n)) > maxQueuedEventBytes {
+			c.client.core.Metrics.ListFlooded.Inc()
+			l.CloseFlooded()
+			return used, nil
+		}
+		c.client.core.Post(func() {
+			c.queuedBytes.Add(-int64(n))
+			c.handleEvent(e)
+		})
 	}
 }
 
@@ -160,7 +171,7 @@
 
 // Closed handles the end of the connection.
 func (c *changeLogConn) Closed(*link.Conn) {
-	c.client.core.PostNonBlocking(func() {
+	c.client.core.Post(func() {
 		c.closed = true
 		if c.client.conn == c {
 			c.client.log.Info("change log: connection lost", zap.Uint64("last event", c.client.seq),
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	healthCheckDelay    = 2 * time.Second // idle time of a far end with attempts or calls before a health check
 	unresponsiveTimeout = 5 * time.Second // idle time that means failure: its calls must be released within 8 s of its end
 	maxQueuedReleases   = 1024            // releases kept for a far end that cannot be reached
+	maxQueuedLineBytes  = 256 << 10       // bytes of lines of one connection that were received and not handled yet
+	floodRedialDelay    = time.Second     // before a connection to a far end that has flooded one
 )
 
 // FarEnds is the far-end side: it keeps connections open to the far ends in the far-end list.
@@ -72,8 +75,9 @@
 	// group states received on the other connections since the last line on this one, and when they became too many
 	missedStates int
 	missLimitAt  time.Duration
-	pending      int       // set-ups on it that have no answer yet
-	groupState   []float32 // the last state of the circuit group received here
+	pending      int          // set-ups on it that have no answer yet
+	queuedBytes  atomic.Int64 // bytes of lines received and not handled yet
+	groupState   []float32    // the last state of the circuit group received here
 }
 
 // queuedRelease is the release of an attempt or call that could not be sent yet.
@@ -438,9 +442,9 @@
 	}
 }
 
-// redialLater dials the next connection after resetRedialDelay.
-func (x *farEnd) redialLater() {
-	x.redialAt = x.farEnds.core.Now() + resetRedialDelay
+// redialLater dials the next connection after a delay.
+func (x *farEnd) redialLater(delay time.Duration) {
+	x.redialAt = x.farEnds.core.Now() + delay
 	x.farEnds.core.At(x.redialAt, func() {
 		if x.farEnds.byID[x.id] == x {
 			x.dial(connsWanted)
@@ -461,7 +465,7 @@
 	if c.closed {
 		// The connection was reset before the dial's result was handled. Without this, set-ups would be sent on it forever.
 		x.dialFailed(false)
-		x.redialLater()
+		x.redialLater(resetRedialDelay)
 		return
 	}
 	c.link, c.connectedAt = l, core.Now()
@@ -506,13 +510,20 @@
 		case n == 0:
 			return used, nil
 		case m != nil:
-			core.Post(func() { c.handleLine(m) })
+			if c.queuedBytes.Add(int64(n)) > maxQueuedLineBytes {
+				l.CloseFlooded()
+				return used, nil
+			}
+			core.Post(func() {
+				c.queuedBytes.Add(-int64(n))
+				c.handleLine(m)
+			})
 		}
 	}
 }
 
 // Closed handles the end of the connection.
-func (c *farConn) Closed(*link.Conn) { c.farEnd.farEnds.core.PostNonBlocking(c.tearDown) }
+func (c *farConn) Closed(*link.Conn) { c.farEnd.farEnds.core.Post(c.tearDown) }
 
 // tearDown ends the set-ups pending on a closed connection. Established calls belong to no connection and stay.
 func (c *farConn) tearDown() {
@@ -523,8 +534,13 @@
 		return // it opened when it was no longer needed
 	}
 	x.redialAt = 0
-	if core.Now()-c.connectedAt < resetRedialDelay {
-		x.redialLater() // it was reset right after opening, and the next one may be too
+	switch {
+	case c.link.Flooded():
+		core.Metrics.LinksFlooded.Inc()
+		x.farEnds.log.Warn("far end floods its connection, which was closed", zap.String("far", x.addr))
+		x.redialLater(floodRedialDelay)
+	case core.Now()-c.connectedAt < resetRedialDelay:
+		x.redialLater(resetRedialDelay) // it was reset right after opening, and the next one may be too
 	}
 	core.Metrics.LinksLost.Inc()
 	x.farEnds.log.Debug("connection to far end lost", zap.String("far", x.addr), zap.Int("open", c.pending))
