--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -359,7 +359,7 @@
 	a.loop.After(flushDelay, a.stop)
 	var closeConnections func()
 	closeConnections = func() {
-		if a.callers.CloseConnections() == 0 {
+		if a.callers.CloseConnections(false) == 0 {
 			a.stop()
 			return
 		}
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -211,7 +211,7 @@
 }
 
 // CloseConnections closes the connections on which nothing is under way, and returns how many are left.
-func (s *Callers) CloseConnections() int {
+func (s *Callers) CloseConnections(final bool) int {
 	for _, c := range slices.Clone(s.conns) {
 		c.closeWithoutLoss()
 	}
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -444,3 +444,63 @@
 		}
 	}
 }
+
+// Guards against set-ups lost at the end of a shutdown: on connections that are never idle, what was read is answered, and what
+// comes later stays unread, so that the connection ends with a reset.
+func TestBusyConnectionsAtTheEnd(t *testing.T) {
+	const connections, closeTime = 30, 40 * time.Millisecond
+	s := newCallersWithClock(agent.SystemClock(), 10*connections)
+	connect := listen(t, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.core.Run(ctx)
+	s.core.Post(s.RefuseNewCalls)
+	type outcome struct {
+		written, answered int
+		err               error
+	}
+	outcomes := make(chan outcome, connections)
+	for i := range connections {
+		c := connect()
+		go func() {
+			written := make(chan int)
+			go func() { // one set-up after another, without waiting for the answers
+				for n := 0; ; n++ {
+					m := newInvite(fmt.Sprintf("%08x%08x", i, n), "check", "9000", "dest:1", strings.Repeat("x", 1000))
+					if _, err := c.Write(m.Append(nil)); err != nil || peerClosed(t, c) {
+						written <- n
+						return
+					}
+					time.Sleep(200 * time.Microsecond)
+				}
+			}()
+			got, err := io.ReadAll(c)
+			outcomes <- outcome{<-written, bytes.Count(got, []byte("SIP/2.0 503 ")), err}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	closed := make(chan int)
+	var closeAll func()
+	start := time.Now()
+	closeAll = func() {
+		if left := s.CloseConnections(time.Since(start) > closeTime/4); left == 0 || time.Since(start) > closeTime {
+			closed <- left
+			return
+		}
+		s.core.After(closeTime/20, closeAll)
+	}
+	s.core.Post(closeAll)
+	if left := <-closed; left > 0 {
+		t.Errorf("%d connections are still open after %v", left, closeTime)
+	}
+	s.core.Post(func() {
+		for _, c := range slices.Clone(s.conns) {
+			c.link.Close()
+		}
+	})
+	for range connections {
+		if o := <-outcomes; o.err == nil && o.answered < o.written {
+			t.Errorf("%d set-ups written, %d answered, and no reset", o.written, o.answered)
+		}
+	}
+}
