--- /dev/null
+++ b/cmd/tinbeam/signals_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain runs the program itself instead of the tests if the environment says so.
+func TestMain(m *testing.M) {
+	if os.Getenv("TINBEAM_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// startProgram starts the program as a process of its own, with standard error connected to the returned pipe, and waits until it
+// is running.
+func startProgram(t *testing.T) (*exec.Cmd, *os.File) {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := addrSetting.ReplaceAllString(string(raw), `"$1": "127.0.0.1:0"`)
+	if err := os.WriteFile(config, []byte(strings.Replace(text, `"management": "127.0.0.1:0"`, `"management": ""`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(os.Args[0], "serve", "-c", config, "-l", "debug")
+	command.Env = append(os.Environ(), "TINBEAM_TEST_RUN=1")
+	command.Stderr = write
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	write.Close()
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+		read.Close()
+	})
+	if _, err := bufio.NewReader(read).ReadString('\n'); err != nil { // its first line says that it is running
+		t.Fatal(err)
+	}
+	return command, read
+}
+
+// waitEnded waits until the program has ended, and returns its state; nil: it has not.
+func waitEnded(command *exec.Cmd, timeout time.Duration) *os.ProcessState {
+	ended := make(chan struct{})
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return command.ProcessState
+	case <-time.After(timeout):
+		return nil
+	}
+}
+
+// Guards against a shutdown that never begins: a SIGTERM behind a burst of other signals must not be dropped.
+func TestTerminateBehindOtherSignals(t *testing.T) {
+	for range 5 {
+		command, read := startProgram(t)
+		go func() { _, _ = bufio.NewReader(read).WriteTo(discard{}) }()
+		for range 200 {
+			_ = command.Process.Signal(syscall.SIGHUP)
+			_ = command.Process.Signal(syscall.SIGUSR1)
+		}
+		_ = command.Process.Signal(syscall.SIGTERM)
+		if state := waitEnded(command, 8*time.Second); state == nil || !state.Success() {
+			t.Fatalf("after SIGTERM: %v", state)
+		}
+	}
+}
+
+// discard is a writer that keeps nothing.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// Guards against a process that ends by itself: the reader of its log may go away, and the next line must not kill it.
+func TestReaderOfLogGoesAway(t *testing.T) {
+	command, read := startProgram(t)
+	read.Close()
+	for range 20 {
+		_ = command.Process.Signal(syscall.SIGHUP) // each one is logged
+		time.Sleep(10 * time.Millisecond)
+	}
+	if state := waitEnded(command, 300*time.Millisecond); state != nil {
+		t.Fatalf("ended by itself: %v", state)
+	}
+}
+
+// Guards against an agent that hangs with its log: if the reader of its log stops reading, the agent goes on, and shuts down.
+func TestReaderOfLogHangs(t *testing.T) {
+	command, _ := startProgram(t)
+	for range 3000 { // each one is logged; a pipe holds 64 KiB
+		_ = command.Process.Signal(syscall.SIGHUP)
+		time.Sleep(500 * time.Microsecond)
+	}
+	_ = command.Process.Signal(syscall.SIGTERM)
+	if state := waitEnded(command, 8*time.Second); state == nil || !state.Success() {
+		t.Fatalf("after SIGTERM: %v", state)
+	}
+}
