Signals: a SIGTERM behind a series of other signals is no longer lost

Callers saw: an agent that was told to stop went on as before and was killed with set-ups unanswered. Cause: all signals went through one channel of four; the runtime drops a signal whose channel is full, and reading a configuration takes long. Class: one bounded queue for messages of different importance. Change: a channel for each purpose; a signal that waits stands for those behind it. Reloading and printing run beside the shutdown.

--- a/cmd/tinbeam/serve.go
+++ b/cmd/tinbeam/serve.go
@@ -4,11 +4,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -80,8 +77,7 @@
 // serve runs the agent until it has shut down. SIGTERM and SIGINT start the shutdown, SIGHUP reloads the configuration, and
 // SIGUSR1 prints the counters, which are also printed at the end.
 func serve(o options, out io.Writer) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	signals := catchSignals()
 	cfg, op, err := loadConfig(o)
 	if err != nil {
 		return err
@@ -97,19 +93,7 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		for s := range signals {
-			switch s {
-			case syscall.SIGUSR1:
-				a.Metrics.Print(out)
-			case syscall.SIGHUP:
-				a.Reload(func(present *config.Config) (*config.Config, error) { return config.Reload(o.config, present) })
-			default:
-				log.Info("shutting down", zap.String("signal", s.String()))
-				a.Shutdown()
-			}
-		}
-	}()
+	go signals.handle(a, out, log, o.config)
 	a.Run()
 	a.Metrics.Print(out)
 	return nil
--- a/cmd/tinbeam/signals_test.go
+++ b/cmd/tinbeam/signals_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // TestMain runs the program itself instead of the tests if the environment says so.
@@ -106,10 +108,14 @@
 
 // Guards against an agent that hangs with its log: if the reader of its log stops reading, the agent goes on, and shuts down.
 func TestReaderOfLogHangs(t *testing.T) {
-	command, _ := startProgram(t)
-	for range 3000 { // each one is logged; a pipe holds 64 KiB
+	command, read := startProgram(t)
+	const pipeSize = 4096
+	if _, err := unix.FcntlInt(read.Fd(), unix.F_SETPIPE_SZ, pipeSize); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 { // each one is logged, which fills the pipe
 		_ = command.Process.Signal(syscall.SIGHUP)
-		time.Sleep(500 * time.Microsecond)
+		time.Sleep(2 * time.Millisecond)
 	}
 	_ = command.Process.Signal(syscall.SIGTERM)
 	if state := waitEnded(command, 8*time.Second); state == nil || !state.Success() {
