Log: neither a reader that goes away nor one that hangs stops the agent

Callers saw: the process was killed, or answered nothing and ignored SIGTERM, when the reader of its standard error went away or stopped reading. Cause: the runtime ends the process on SIGPIPE for standard error, and each line of the log was written on the event loop. Class: the core waits for something outside it that owes it nothing. Change: SIGPIPE is ignored; lines are written on a goroutine of their own, 2,048 may wait, further ones are dropped and counted (log_lines_dropped_total). The form of the lines and their sampling are as before.

--- a/cmd/tinbeam/serve.go
+++ b/cmd/tinbeam/serve.go
@@ -4,8 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -15,15 +19,18 @@
 	"tinbeam/internal/metrics"
 )
 
-func newLog(level string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
+// linesBeforeSampling is how many lines with the same text are logged in a second; of more, one of as many is.
+const linesBeforeSampling = 100
+
+// newLog returns a logger that writes JSON lines of at least the given level to the writer.
+func newLog(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	cfg.Level = zap.NewAtomicLevelAt(parsed)
-	cfg.OutputPaths, cfg.ErrorOutputPaths = []string{"stderr"}, []string{"stderr"}
-	return cfg.Build()
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, parsed)
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, linesBeforeSampling, linesBeforeSampling)
+	return zap.New(sampled, zap.AddCaller(), zap.AddStacktrace(zapcore.ErrorLevel)), nil
 }
 
 // setRuntimeLimits adapts the Go runtime to the machine, which has one core. The Go memory limit is well below the memory limit
@@ -82,14 +89,16 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLog(o.level)
+	signal.Ignore(syscall.SIGPIPE) // else a write to standard error without a reader would end the process
+	counters := metrics.New()
+	log, err := newLog(o.level, newLogWriter(os.Stderr, counters.LogDropped))
 	if err != nil {
 		return err
 	}
 	defer log.Sync()
 	log = log.With(zap.String("agent", cfg.Name))
 	setRuntimeLimits(cfg.MemoryMB)
-	a, err := app.New(cfg, op, log)
+	a, err := app.New(cfg, op, counters, log)
 	if err != nil {
 		return err
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -69,9 +69,9 @@
 	stop         context.CancelFunc // ends Run
 }
 
-// New opens the sockets and creates all parts. No event is handled before Run.
-func New(cfg *config.Config, op *config.Operator, log *zap.Logger) (*App, error) {
-	a := &App{Metrics: metrics.New(), loop: agent.NewLoop(agent.SystemClock()), log: log, cfg: cfg, remoteWriter: op.RemoteWrite}
+// New opens the sockets and creates all parts, which count in the given metrics. No event is handled before Run.
+func New(cfg *config.Config, op *config.Operator, counters *metrics.Set, log *zap.Logger) (*App, error) {
+	a := &App{Metrics: counters, loop: agent.NewLoop(agent.SystemClock()), log: log, cfg: cfg, remoteWriter: op.RemoteWrite}
 	a.ctx, a.stop = context.WithCancel(context.Background())
 	var hook agent.Hook
 	if op.Plugin != nil {
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"tinbeam/internal/config"
+	"tinbeam/internal/metrics"
 )
 
 // standardMessages holds the messages that most scripts use to set up and release calls. ID stands for the ID of the call.
@@ -676,7 +677,7 @@
 		}
 	}
 	p.cfg = cfg
-	if p.app, err = New(cfg, op, zap.NewNop()); err != nil {
+	if p.app, err = New(cfg, op, metrics.New(), zap.NewNop()); err != nil {
 		p.Fatal(err)
 	}
 	go func() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,7 +50,7 @@
 	PushesOK, PushesFailed                                          *Counter
 	MemoryInUse, Goroutines                                         *Counter
 	StaleLines, AttemptsAmbiguous, LinksFlooded, ListFlooded        *Counter
-	MGCPDropped                                                     *Counter
+	MGCPDropped, LogDropped                                         *Counter
 
 	all     []*Counter
 	mu      sync.Mutex
@@ -148,6 +148,7 @@
 	add(&s.LinksFlooded, "links_flooded_total", "connections to far ends closed since lines came faster than they were handled")
 	add(&s.ListFlooded, "list_flooded_total", "connections to the change log closed since events came faster than they were handled")
 	add(&s.MGCPDropped, "mgcp_dropped_total", "MGCP datagrams dropped since they came faster than they were handled")
+	add(&s.LogDropped, "log_lines_dropped_total", "lines of the log dropped since its reader did not read")
 	gauge(&s.MemoryInUse, "memory_bytes", "memory that the Go runtime holds from the system now")
 	gauge(&s.Goroutines, "goroutines", "goroutines now")
 	add(&s.PushesFailed, "remote_writes_failed_total", "remote writes that failed")
