--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -509,3 +509,54 @@
 		}
 	}
 }
+
+// Guards against a limit that a flood loosens: messages refused at the limit of their connection must leave the count of queued
+// bytes as it was, and when all have been handled it must be zero.
+func TestQueuedBytesAfterFlood(t *testing.T) {
+	s := newCallers()
+	c := listen(t, s)()
+	const messages = maxQueuedPerConn + 100
+	var b []byte
+	for i := range messages {
+		b = newInvite(fmt.Sprintf("%016x", i), "check", "1500", "dest:1", "v=0").Append(b)
+	}
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testTimeout); s.core.Metrics.RateLimited.Value() < messages-maxQueuedPerConn; {
+		if time.Now().After(end) {
+			t.Fatalf("%d messages refused", s.core.Metrics.RateLimited.Value())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if n := s.queuedBytes.Load(); n <= 0 {
+		t.Errorf("%d bytes are queued with %d messages", n, maxQueuedPerConn)
+	}
+	s.core.Step()
+	if n := s.queuedBytes.Load(); n != 0 {
+		t.Errorf("%d bytes are queued with no message", n)
+	}
+}
+
+// Guards against refused health checks at the start: those that have been answered must not count as held, or after 65 of them
+// every later one fails although it could wait until the agent is ready.
+func TestHealthChecksBeforeReady(t *testing.T) {
+	now := time.Hour
+	s := newCallersWithClock(func() time.Duration { return now }, 10)
+	listen(t, s)()
+	for len(s.conns) == 0 {
+		s.core.Step()
+	}
+	check := func() {
+		s.conns[0].handleMessage(&sip.Message{Method: "OPTIONS", Headers: []sip.Header{{Name: "Call-ID", Value: "0000000000000f01"}}})
+	}
+	for range 100 {
+		check()
+	}
+	now += healthCheckTimeout // all of them are answered
+	s.core.Step()
+	check()
+	if len(s.heldHealthChecks) != 1 {
+		t.Errorf("%d health checks are held, want the last one", len(s.heldHealthChecks))
+	}
+}
