Callers: a flood on one connection no longer loosens the limit of all

Cause: a message over its connection's limit was not added to the count of queued bytes, because || stopped before, but was subtracted from it. Class: a count whose two ends are not on the same path. Evidence: TestQueuedBytesAfterFlood found a negative count after 100 refused messages. Change: both counts are raised before the limits are compared. Result: the test failed before and passes. The same mistake in related code: the counts of connections, set-ups and lines are each raised and lowered in one place.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -384,7 +384,8 @@
 		// Limits the queue and the memory that a flood of messages can take: what exceeds the limits is refused here, at the
 		// cost of parsing it.
 		size := int64(n)
-		if c.queued.Add(1) > maxQueuedPerConn || c.callers.queuedBytes.Add(size) > int64(c.callers.maxBytes) {
+		messages, bytes := c.queued.Add(1), c.callers.queuedBytes.Add(size) // both count it until it is dequeued
+		if messages > maxQueuedPerConn || bytes > int64(c.callers.maxBytes) {
 			core.Metrics.RateLimited.Inc()
 			if m.Method != "" && m.Method != "ACK" {
 				l.Send(m.Response(503, "Service Unavailable", "").Append(nil), nil)
