Callers: health checks answered before the agent is ready no longer count as held

Callers saw: at a slow start the front's tests failed at once after the 65th, so that the agent was taken in late. Cause: a check answered by its timer stayed in the list of held checks. Evidence: TestHealthChecksBeforeReady: 65 held after 100 answered ones. Change: a held check is an entry with its timer; either the timer or the agent's readiness takes it off and answers it. Result: the test failed before and passes, as does the package.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -31,12 +31,13 @@
 	maxFinished        = 20000                  // finished calls remembered at most
 
 	// Limits of one connection. Regular callers stay far below them, and they are the same for every caller.
-	readTimeout        = 2 * time.Second        // from the accept, or the first byte of a message, until the message is complete
-	maxPendingPerConn  = 256                    // set-ups without a final answer
-	maxQueuedPerConn   = 256                    // messages received and not handled yet
-	maxBadRequests     = 16                     // invalid requests before the connection is closed
-	minIdleToEvict     = 300 * time.Millisecond // a connection idle (or open) for less than this is not evicted
-	healthCheckTimeout = 700 * time.Millisecond // a health check that arrives before the agent is ready waits this long for it
+	readTimeout         = 2 * time.Second        // from the accept, or the first byte of a message, until the message is complete
+	maxPendingPerConn   = 256                    // set-ups without a final answer
+	maxQueuedPerConn    = 256                    // messages received and not handled yet
+	maxBadRequests      = 16                     // invalid requests before the connection is closed
+	minIdleToEvict      = 300 * time.Millisecond // a connection idle (or open) for less than this is not evicted
+	maxHeldHealthChecks = 64
+	healthCheckTimeout  = 700 * time.Millisecond // a health check that arrives before the agent is ready waits this long for it
 )
 
 // Callers is the caller side: it serves SIP to the callers.
@@ -60,7 +61,7 @@
 	finished         map[string]uint64   // number of the connection that the set-up of each finished call came on, by Call-ID
 	accepted         uint64              // connections accepted so far
 	finishedOrder    []finishedCall      // the finished calls, oldest first
-	heldHealthChecks []func()            // answer the health checks received before the agent was ready
+	heldHealthChecks []*heldHealthCheck  // health checks received before the agent was ready, and not answered
 	branch           uint64              // number in the Via branch of the last BYE sent
 }
 
@@ -350,10 +351,12 @@
 // SetReady records that the agent can accept calls: from now on health checks pass.
 func (s *Callers) SetReady() {
 	s.ready = true
-	for _, answer := range s.heldHealthChecks {
-		answer()
-	}
+	held := s.heldHealthChecks
 	s.heldHealthChecks = nil
+	for _, h := range held {
+		s.core.Stop(h.timer)
+		s.answerHealthCheck(h.conn, h.message)
+	}
 }
 
 // Data parses messages. A malformed one is refused if it is a request, and closes the connection, since the start of the next
@@ -515,26 +518,34 @@
 	c.send(m.Response(481, "Call/Transaction Does Not Exist", ""))
 }
 
-// handleOptions answers a health check: it passes once the agent is ready, and fails during a drain.
+// heldHealthCheck is a health check that was received before the agent was ready.
+type heldHealthCheck struct {
+	conn    *callerConn
+	message *sip.Message
+	timer   *agent.Timer // answers it at the latest
+}
+
+// handleOptions answers a health check. One that comes before the agent is ready waits for that.
 func (s *Callers) handleOptions(c *callerConn, m *sip.Message) {
-	answered := false
-	answer := func() {
-		if answered {
-			return
-		}
-		answered = true
-		if s.ready && s.drain == nil {
-			c.send(m.Response(200, "OK", ""))
-		} else {
-			c.send(m.Response(503, "Service Unavailable", ""))
-		}
-	}
-	if s.ready || len(s.heldHealthChecks) > 64 {
-		answer()
+	if s.ready || len(s.heldHealthChecks) >= maxHeldHealthChecks {
+		s.answerHealthCheck(c, m)
 		return
 	}
-	s.heldHealthChecks = append(s.heldHealthChecks, answer)
-	s.core.After(healthCheckTimeout, answer)
+	held := &heldHealthCheck{conn: c, message: m}
+	held.timer = s.core.After(healthCheckTimeout, func() {
+		s.heldHealthChecks = slices.DeleteFunc(s.heldHealthChecks, func(o *heldHealthCheck) bool { return o == held })
+		s.answerHealthCheck(c, m)
+	})
+	s.heldHealthChecks = append(s.heldHealthChecks, held)
+}
+
+// answerHealthCheck answers a health check: it passes once the agent is ready, and fails during a drain.
+func (s *Callers) answerHealthCheck(c *callerConn, m *sip.Message) {
+	if s.ready && s.drain == nil {
+		c.send(m.Response(200, "OK", ""))
+	} else {
+		c.send(m.Response(503, "Service Unavailable", ""))
+	}
 }
 
 // parseCause reads Q.850;cause=N of a Reason header (RFC 3326). Without a cause it returns 16, normal clearing.
