--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -25,6 +25,8 @@
 	maxConnsPerFarEnd   = 4   // a far end sends its circuit group's state on up to this many connections
 	singleConnAbove     = 128 // with more far ends than this each gets one connection, to limit file descriptors
 	redialDelay         = 200 * time.Millisecond
+	slowDialTime        = 150 * time.Millisecond // a dial that has taken this long may hang, and another one is tried
+	maxDials            = 2                      // dials to one far end at a time
 	resetRedialDelay    = 20 * time.Millisecond  // after a connection that was reset as soon as it opened
 	stallTimeout        = 300 * time.Millisecond // a line incomplete, or a connection idle, for this long does not recover
 	extraConnDelay      = 400 * time.Millisecond // idle time with a set-up pending before an extra connection is opened
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -361,3 +362,48 @@
 		t.Errorf("the caller got %q", got)
 	}
 }
+
+// Guards against set-ups that wait for one connection which never comes up: while a dial hangs, another one is tried.
+func TestSecondDialWhileOneHangs(t *testing.T) {
+	f := newFarEndFixture(t)
+	f.farEnds.dialTimeout = testTimeout
+	// A listening socket with a full queue drops what comes next; the system sends it again after a second.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
+		t.Fatal(err)
+	}
+	filler, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filler.Close()
+	f.open()
+	f.onLoop(func() {
+		f.farEnds.ApplyList(2, tinbeam.ListDelta, []changelog.Entry{{Addr: ln.Addr().String(),
+			Entry: tinbeam.Entry{Switch: 8, ExchangeNumber: 2, Mode: tinbeam.Ready, Weight: 1}}})
+	})
+	time.Sleep(slowDialTime / 3) // the dial hangs
+	start := time.Now()
+	accepted := make(chan time.Duration, 8)
+	go func() {
+		for {
+			if _, err := ln.Accept(); err != nil {
+				return
+			}
+			accepted <- time.Since(start)
+		}
+	}()
+	<-accepted // the filler
+	const retransmission = time.Second
+	if took := <-accepted; took > retransmission*8/10 {
+		t.Errorf("a connection came up after %v", took)
+	}
+}
