Far ends: while one dial hangs, another one is tried

Callers saw: set-ups waited, up to their whole time, for one connection that never came up, while the next would have. Cause: a flag allowed one dial for each far end at a time, and a dial to a machine that drops the first packet takes until the timeout. Class: one slow operation holds the only slot.

--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"iter"
 	"maps"
@@ -57,7 +58,8 @@
 	mode           tinbeam.Mode
 	onlineSince    time.Duration // start of its process, as far as listed
 	conns          []*farConn
-	dialing        bool
+	dials          int                       // dials in progress
+	lastDialAt     time.Duration             // start of the last one
 	redialAt       time.Duration             // no dial starts before this time
 	readyReported  bool                      // its group's state was received, or no connection could be opened
 	lastReceivedAt time.Duration             // time of the last line, or of the last connection opened
@@ -398,29 +400,49 @@
 	if len(f.byID) > singleConnAbove {
 		limit = 1
 	}
-	if f.closed || x.dialing || len(x.conns) >= limit || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt {
+	if f.closed || len(x.conns) >= limit || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt || !x.mayDial() {
 		return
 	}
-	x.dialing = true
+	x.dials++
+	x.lastDialAt = f.core.Now()
 	addr := x.addr
 	c := &farConn{farEnd: x}
+	again := f.core.After(slowDialTime, func() {
+		if f.byID[x.id] == x {
+			x.dial(limit)
+		}
+	})
 	go func() {
 		l, err := link.Dial(addr, f.dialTimeout, c)
 		f.core.Post(func() {
-			x.dialing = false
-			if err == nil && (x.addr != addr || f.byID[x.id] != x) {
-				l.Close()
-				err = fmt.Errorf("the far end's address has changed")
-			}
-			if err != nil {
-				x.dialFailed(link.Refused(err))
-			} else {
-				x.connected(c, l)
-			}
+			x.dials--
+			f.core.Stop(again)
+			x.dialed(c, l, err, addr)
 		})
 	}()
 }
 
+// mayDial reports whether no dial is in progress, or one that may hang.
+func (x *farEnd) mayDial() bool {
+	return x.dials == 0 || x.dials < maxDials && x.farEnds.core.Now()-x.lastDialAt >= slowDialTime
+}
+
+// dialed handles the result of a dial to an address.
+func (x *farEnd) dialed(c *farConn, l *link.Conn, err error, addr string) {
+	if err == nil && (x.addr != addr || x.farEnds.byID[x.id] != x || len(x.conns) >= maxConnsPerFarEnd) {
+		l.Close()
+		err = errNotWanted
+	}
+	if err != nil {
+		x.dialFailed(link.Refused(err))
+		return
+	}
+	x.connected(c, l)
+}
+
+// errNotWanted reports a connection that came up after the far end had changed its address, had gone, or had enough connections.
+var errNotWanted = errors.New("the connection is not wanted any more")
+
 // dialFailed handles a connection that could not be opened. A refused one proves that the process and its calls are gone.
 func (x *farEnd) dialFailed(refused bool) {
 	core := x.farEnds.core
