Failing test: a decision that fails leaves held calls doubled and loses set-ups

Result: the list of held calls is as before the failure, so that a call that was sent would be sent again.

--- a/controller.go
+++ b/controller.go
@@ -325,6 +325,13 @@
 	return out
 }
 
+// TakeActions returns the actions decided so far and forgets them. After a panic in Handle they have not been returned.
+func (c *Controller) TakeActions() []Action {
+	taken := c.actions
+	c.actions = nil
+	return taken
+}
+
 func (c *Controller) addAction(action Action) { c.actions = append(c.actions, action) }
 
 // note leaves a line for the operators.
@@ -570,7 +577,7 @@
 		}
 	}
 	slices.SortStableFunc(c.held, func(a, b *call) int { return cmp.Compare(b.priority, a.priority) })
-	c.held = slices.DeleteFunc(c.held, c.admit)
+	c.admitHeld()
 	for _, call := range slices.Clone(c.held) {
 		if c.hopeless(call) {
 			c.finish(call)
@@ -578,6 +585,9 @@
 	}
 }
 
+// admitHeld sends the held calls that may be sent, and goes on holding the others.
+func (c *Controller) admitHeld() { c.held = slices.DeleteFunc(c.held, c.admit) }
+
 // hopeless reports whether no circuit and no grant of a gap can come in time for a held call. Its caller is
 // refused and may call again.
 func (c *Controller) hopeless(call *call) bool {
--- a/controller_test.go
+++ b/controller_test.go
@@ -1417,3 +1417,42 @@
 		t.Error("a class starts with the counts of another")
 	}
 }
+
+// Guards against calls that are lost or sent twice after a decision has failed: the set-ups decided before the failure must reach
+// the caller of Handle, and each call that was not sent must be held once.
+func TestFailedDecisionKeepsHeldCalls(t *testing.T) {
+	b := newBench(t, settings())
+	c := b.controller
+	b.reportFree(1, 0)
+	for range 3 {
+		b.offer(1)
+	}
+	if len(c.held) != 3 {
+		t.Fatalf("%d calls are held, want 3", len(c.held))
+	}
+	first, last := c.held[0], c.held[2]
+	c.held[1] = nil // deciding on it fails
+	for number := 1; number < 4; number++ {
+		c.exchangeByNumber(number).freeCircuits = 1
+	}
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Fatal("the decision did not fail")
+			}
+		}()
+		c.admitHeld()
+	}()
+	if !first.attemptPending || len(c.held) != 1 || c.held[0] != last {
+		t.Errorf("first call sent %t; held %v, want only the last call", first.attemptPending, c.held)
+	}
+	sent := 0
+	for _, a := range c.TakeActions() {
+		if a, ok := a.(Attempt); ok && a.Ref == first.Ref {
+			sent++
+		}
+	}
+	if sent != 1 || len(c.TakeActions()) != 0 {
+		t.Errorf("the first call was sent %d times, want 1", sent)
+	}
+}
