Decision module: a failed decision neither doubles held calls nor loses set-ups

Cause: DeleteFunc moves entries while it decides, and a panic left the list half moved; the actions decided before it were dropped although the module counts their set-ups as sent. Class: recovery from a panic that ignores half-done state. Evidence: TestFailedDecisionKeepsHeldCalls failed before. Change: admitHeld rebuilds the list whatever happens and drops only the call whose decision failed, whose deadline timer answers it; the core carries out the actions decided before the panic. Result: the test, the module's and the core's tests pass.

--- a/controller.go
+++ b/controller.go
@@ -585,8 +585,19 @@
 	}
 }
 
-// admitHeld sends the held calls that may be sent, and goes on holding the others.
-func (c *Controller) admitHeld() { c.held = slices.DeleteFunc(c.held, c.admit) }
+// admitHeld sends the held calls that may be sent, and goes on holding the others. If the decision on a call
+// panics, that call is not held any longer, and its deadline ends it; all others are kept.
+func (c *Controller) admitHeld() {
+	calls, kept, decided := c.held, make([]*call, 0, len(c.held)), 0
+	defer func() { c.held = append(kept, calls[decided:]...) }()
+	for decided < len(calls) {
+		call := calls[decided]
+		decided++
+		if !c.admit(call) {
+			kept = append(kept, call)
+		}
+	}
+}
 
 // hopeless reports whether no circuit and no grant of a gap can come in time for a held call. Its caller is
 // refused and may call again.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -259,10 +259,12 @@
 	c.queued = nil
 }
 
-// decide passes one event to the decision module and returns its actions. After a panic it schedules a tick instead.
+// decide passes one event to the decision module and returns its actions. After a panic these are the actions decided before it,
+// since the module counts their set-ups as sent, and a tick.
 func (c *Core) decide(e tinbeam.Event) (actions []tinbeam.Action) {
 	if !c.recoverPanic(e, func() { actions = c.controller.Handle(c.Now(), e, nil) }) {
-		actions = []tinbeam.Action{tinbeam.Schedule{After: 20 * time.Millisecond, Handle: 1}}
+		c.recoverPanic(e, func() { actions = c.controller.TakeActions() })
+		actions = append(actions, tinbeam.Schedule{After: 20 * time.Millisecond, Handle: 1})
 	}
 	return actions
 }
