--- a/controller.go
+++ b/controller.go
@@ -325,7 +325,8 @@
 	return out
 }
 
-// TakeActions returns the actions decided so far and forgets them. After a panic in Handle they have not been returned.
+// TakeActions returns the actions decided so far and forgets them. After a panic in Handle they have not been
+// returned.
 func (c *Controller) TakeActions() []Action {
 	taken := c.actions
 	c.actions = nil
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -38,6 +38,9 @@
 	queue  *eventQueue
 	timers timerHeap
 	seq    uint64
+
+	// OnPanic is called with the value and the stack of a panic of an event or timer.
+	OnPanic func(value any, stack []byte)
 }
 
 // NewLoop returns a loop driven by the given clock, which counts from the Unix epoch.
--- a/internal/debug/debug.go
+++ b/internal/debug/debug.go
@@ -8,6 +8,9 @@
 	"tinbeam/internal/metrics"
 )
 
+// Strict reports whether this is a debug build, in which every fault stops the program.
+const Strict = panicOnViolation
+
 // Check checks that the invariant ok holds, and returns ok so that the caller can handle a violation safely.
 func Check(ok bool, c *metrics.Counter, format string, args ...any) bool {
 	if !ok {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -351,6 +351,12 @@
 	c.Close()
 }
 
+// panicHandler is what SetPanicHandler was called with.
+var panicHandler atomic.Pointer[func(value any, stack []byte)]
+
+// SetPanicHandler sets what is called with the value and the stack of a panic in a Handler's Data; nil: nothing.
+func SetPanicHandler(report func(value any, stack []byte)) { panicHandler.Store(&report) }
+
 func (c *Conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
