A fault in one event, timer or input no longer ends the process

Cause: only the decision module was guarded; a panic on the loop ended the process, and netpoll's pool swallowed one in a handler of input with the connection in an undefined state. Class: one request's fault takes the whole service. Change: the loop recovers from an event or timer that panics, a connection's panic closes it; both are counted (panics_total) and logged with the stack. In a debug build both still end the program, so that tests and the soak find them.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -161,6 +161,7 @@
 	c := &Core{Loop: loop, Settings: settings, maxCalls: memory / 2 / bytesPerCall, Metrics: m, log: log, hook: hook,
 		controller: tinbeam.New(settings, seed),
 		calls:      map[uint32]*Call{}, farEnds: map[uint32]*farEnd{}, probeTimers: map[uint32]*Timer{}}
+	loop.OnPanic = c.ReportPanic
 	for _, k := range settings.Classes {
 		m.Class(k.Name) // exports the counters of the class at zero from the start
 	}
@@ -269,6 +270,12 @@
 	return actions
 }
 
+// ReportPanic counts and logs a panic that was recovered outside the decision module. It may be called on any goroutine.
+func (c *Core) ReportPanic(value any, stack []byte) {
+	c.Metrics.Panics.Inc()
+	c.log.Error("panic", zap.Any("panic", value), zap.ByteString("stack", stack))
+}
+
 // recoverPanic calls fn and recovers from a panic of the decision module, so that a bug there does not stop the process:
 // the panic is counted and logged, and the calls concerned are answered at their deadlines. It reports whether fn
 // returned without a panic.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -3,7 +3,10 @@
 import (
 	"container/heap"
 	"context"
+	"runtime/debug"
 	"time"
+
+	invariant "tinbeam/internal/debug"
 )
 
 // Timer is a function due at a certain time on the loop's goroutine.
@@ -89,11 +92,11 @@
 	for {
 		l.now = max(l.now, l.clock())
 		if len(l.timers) > 0 && l.timers[0].at <= l.now {
-			heap.Pop(&l.timers).(*Timer).fn()
+			l.call(heap.Pop(&l.timers).(*Timer).fn)
 			continue
 		}
 		if fn := l.queue.next(); fn != nil {
-			fn()
+			l.call(fn)
 			continue
 		}
 		if len(l.timers) == 0 {
@@ -103,6 +106,21 @@
 	}
 }
 
+// call calls the function of an event or timer. A panic is reported and ends that function only; in a debug build it ends the
+// program.
+func (l *Loop) call(fn func()) {
+	if invariant.Strict || l.OnPanic == nil {
+		fn()
+		return
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			l.OnPanic(p, debug.Stack())
+		}
+	}()
+	fn()
+}
+
 // Run handles events and timers until the context is done.
 func (l *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -83,6 +83,7 @@
 	}
 	memoryLimit := memoryLimitMB(cfg) << 20
 	a.core = agent.New(a.loop, cfg.Settings, cfg.Seed, memoryLimit, a.Metrics, log, hook)
+	link.SetPanicHandler(a.core.ReportPanic)
 	maxConns := maxCallerConns(cfg.Sockets)
 	a.callers = platform.NewCallers(a.core, log, cfg.Listen, maxConns*3/4, memoryLimit)
 	var err error
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	invariant "tinbeam/internal/debug"
 )
 
 const (
@@ -328,6 +331,7 @@
 
 // handle adds b to the input and passes it to the handler.
 func (c *Conn) handle(b []byte) {
+	defer c.closeOnPanic()
 	c.input = append(c.input, b...)
 	used, err := c.handler.Data(c, c.input)
 	used = min(max(used, 0), len(c.input))
@@ -351,6 +355,20 @@
 	c.Close()
 }
 
+// closeOnPanic is deferred around calls of the handler. A panic is reported and ends the connection only; in a debug build it ends
+// the program.
+func (c *Conn) closeOnPanic() {
+	if p := recover(); p != nil {
+		if invariant.Strict {
+			go panic(fmt.Sprintf("%v\n%s", p, debug.Stack())) // on this goroutine netpoll's pool would recover it
+		}
+		if report := panicHandler.Load(); report != nil && *report != nil {
+			(*report)(p, debug.Stack())
+		}
+		c.Close()
+	}
+}
+
 // panicHandler is what SetPanicHandler was called with.
 var panicHandler atomic.Pointer[func(value any, stack []byte)]
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -130,7 +130,7 @@
 	add(&s.CallersEvicted, "callers_evicted_total", "callers' connections without a set-up closed to make room")
 	add(&s.RateLimited, "flooded_total", "set-ups refused at the door since a connection, or all together, sent too many")
 	add(&s.Violations, "violations_total", "conditions that must hold and did not")
-	add(&s.Panics, "panics_total", "decisions that failed")
+	add(&s.Panics, "panics_total", "panics that were recovered: decisions, events and input whose handling failed")
 	add(&s.LateAnswers, "late_answers_total",
 		"final answers that the core gave itself, at the deadline, at the end, or to callers sent away")
 	add(&s.PluginCalls, "plugin_calls_total", "events shown to the plug-in")
