--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"fmt"
 	"iter"
 	"maps"
 	"slices"
@@ -11,13 +10,10 @@
 	"strings"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"go.uber.org/zap"
 
-	"tinbeam"
 	"tinbeam/internal/agent"
-	"tinbeam/internal/farend"
 	"tinbeam/internal/link"
 	"tinbeam/internal/sip"
 )
@@ -122,120 +118,6 @@
 	}
 }
 
-// RefuseNewCalls refuses every further set-up.
-func (s *Callers) RefuseNewCalls() { s.stopping = true }
-
-// DrainSchedule says when the steps of a drain begin, counted from its start. With 0 a step is left out.
-type DrainSchedule struct {
-	CloseAfter  time.Duration // from then on each connection is closed as soon as no set-up is pending on it
-	RefuseAfter time.Duration // from then on set-ups are refused, so that busy connections become idle too
-	EndAfter    time.Duration // then the set-ups still pending are failed and all connections closed
-}
-
-// Drain starts draining callers, or with nil accepts them again. During a drain health checks fail; connected callers are
-// served until their connection can be closed, preferably right after an answer, when no request crosses the close. An
-// established call belongs to no connection: its release goes to the caller that connects next.
-func (s *Callers) Drain(schedule *DrainSchedule) {
-	s.drain = schedule
-	s.drainRefusing = false
-	if schedule == nil {
-		return
-	}
-	after := func(d time.Duration, do func()) {
-		if d > 0 {
-			s.core.After(d, func() {
-				if s.drain == schedule { // otherwise the drain was cancelled or replaced meanwhile
-					do()
-				}
-			})
-		}
-	}
-	s.drainClosing = false
-	after(schedule.CloseAfter, func() {
-		s.drainClosing = true
-		s.closeIdle()
-	})
-	after(schedule.RefuseAfter, func() { s.drainRefusing = true })
-	after(schedule.EndAfter, func() {
-		for _, c := range slices.Clone(s.conns) {
-			for _, leg := range c.pendingLegs() {
-				s.core.Fail(leg.call)
-			}
-		}
-		s.closeIdle()
-	})
-}
-
-// closeIdle closes what a drain may close now, and tries again soon as long as the drain closes connections.
-func (s *Callers) closeIdle() {
-	for _, c := range slices.Clone(s.conns) {
-		c.closeIfIdle()
-	}
-	if s.drain != nil && s.drainClosing && !s.closeScheduled && len(s.conns) > 0 {
-		s.closeScheduled = true
-		s.core.After(closeRetryInterval, func() {
-			s.closeScheduled = false
-			s.closeIdle()
-		})
-	}
-}
-
-// closeIfIdle closes a connection with no set-up pending on it, once a drain closes connections.
-func (c *callerConn) closeIfIdle() {
-	if s := c.callers; s.drain != nil && s.drainClosing && c.gotMessage {
-		c.closeWithoutLoss()
-	}
-}
-
-// closeWithoutLoss begins to close a connection, or closes it, unless a set-up on it is pending, something has been received on it
-// that was not handled yet, or an answer is still to be written. It has to be called again until the connection is closed.
-func (c *callerConn) closeWithoutLoss() {
-	switch {
-	case c.closed:
-	case c.pending > 0 || c.queued.Load() > 0:
-		c.link.ResumeReading()
-	case !c.link.ReadingPaused():
-		c.link.PauseReading()
-	case c.closeIfHandled():
-	default:
-		c.link.ResumeReading()
-	}
-}
-
-// closeIfHandled closes a connection at once if all that was received on it has been handled, and reports whether it did.
-func (c *callerConn) closeIfHandled() bool {
-	if c.pending > 0 || !c.link.CloseIfIdle(c.queueEmpty) {
-		return false
-	}
-	c.tearDown()
-	return true
-}
-
-// closeFinally reads no further message from a connection, and closes it once what was read has been answered. Set-ups that arrive
-// meanwhile cross the close.
-func (c *callerConn) closeFinally() {
-	c.link.PauseReading()
-	if c.pending == 0 && c.link.ReadingPaused() && c.link.CloseIfReadIsHandled(c.queueEmpty) {
-		c.tearDown()
-	}
-}
-
-// queueEmpty reports whether all messages received on the connection have been handled.
-func (c *callerConn) queueEmpty() bool { return c.queued.Load() == 0 }
-
-// CloseConnections closes the connections on which nothing is under way, and returns how many are left. A final call also closes
-// those on which messages keep arriving, and leaves these unread. It has to be called again until no connection is left.
-func (s *Callers) CloseConnections(final bool) int {
-	for _, c := range slices.Clone(s.conns) {
-		if final {
-			c.closeFinally()
-		} else {
-			c.closeWithoutLoss()
-		}
-	}
-	return len(s.conns)
-}
-
 // OpenCalls returns how many calls wait for their final answer, are established, or have ended without their caller having
 // confirmed the release.
 func (s *Callers) OpenCalls() int { return len(s.legs) }
@@ -287,20 +169,6 @@
 	return c
 }
 
-// evict closes the connection that has been idle longest among those that never sent a message, else among those without a
-// call. This keeps capacity for regular callers when others only hold connections open. A connection with an established
-// call is kept, since the call's release must reach its caller, who may have no other connection.
-func (s *Callers) evict() {
-	for _, silent := range []bool{true, false} {
-		for _, c := range s.conns {
-			if c.gotMessage != silent && len(c.legs) == 0 && s.core.Now()-c.lastMessageAt >= minIdleToEvict && c.closeIfHandled() {
-				s.core.Metrics.CallersEvicted.Inc()
-				return
-			}
-		}
-	}
-}
-
 // tearDown marks a connection as closed and abandons the set-ups pending on it. A set-up that crosses a close by the agent,
 // received but not handled yet, is then ignored. If it were sent to a far end, its caller would never receive the answer; as
 // it is not sent, the caller can safely repeat it.
@@ -331,11 +199,6 @@
 	return snapshot(c.legs, func(leg *callLeg) bool { return leg.pending })
 }
 
-// unconfirmedReleases yields the calls whose release no caller has confirmed, in the order of their IDs.
-func (s *Callers) unconfirmedReleases() iter.Seq2[string, *callLeg] {
-	return snapshot(s.byes, func(*callLeg) bool { return true })
-}
-
 // snapshot yields the legs that are in the map now, are still in it when their turn comes, and then meet the condition. Any call
 // of the core may end other calls, so a leg that was in the map before the call need not be in it after it.
 func snapshot(legs map[string]*callLeg, condition func(*callLeg) bool) iter.Seq2[string, *callLeg] {
@@ -348,17 +211,6 @@
 	}
 }
 
-// SetReady records that the agent can accept calls: from now on health checks pass.
-func (s *Callers) SetReady() {
-	s.ready = true
-	held := s.heldHealthChecks
-	s.heldHealthChecks = nil
-	for _, h := range held {
-		s.core.Stop(h.timer)
-		s.answerHealthCheck(h.conn, h.message)
-	}
-}
-
 // Data parses messages. A malformed one is refused if it is a request, and closes the connection, since the start of the next
 // message is not known.
 func (c *callerConn) Data(l *link.Conn, b []byte) (int, error) {
@@ -518,36 +370,6 @@
 	c.send(m.Response(481, "Call/Transaction Does Not Exist", ""))
 }
 
-// heldHealthCheck is a health check that was received before the agent was ready.
-type heldHealthCheck struct {
-	conn    *callerConn
-	message *sip.Message
-	timer   *agent.Timer // answers it at the latest
-}
-
-// handleOptions answers a health check. One that comes before the agent is ready waits for that.
-func (s *Callers) handleOptions(c *callerConn, m *sip.Message) {
-	if s.ready || len(s.heldHealthChecks) >= maxHeldHealthChecks {
-		s.answerHealthCheck(c, m)
-		return
-	}
-	held := &heldHealthCheck{conn: c, message: m}
-	held.timer = s.core.After(healthCheckTimeout, func() {
-		s.heldHealthChecks = slices.DeleteFunc(s.heldHealthChecks, func(o *heldHealthCheck) bool { return o == held })
-		s.answerHealthCheck(c, m)
-	})
-	s.heldHealthChecks = append(s.heldHealthChecks, held)
-}
-
-// answerHealthCheck answers a health check: it passes once the agent is ready, and fails during a drain.
-func (s *Callers) answerHealthCheck(c *callerConn, m *sip.Message) {
-	if s.ready && s.drain == nil {
-		c.send(m.Response(200, "OK", ""))
-	} else {
-		c.send(m.Response(503, "Service Unavailable", ""))
-	}
-}
-
 // parseCause reads Q.850;cause=N of a Reason header (RFC 3326). Without a cause it returns 16, normal clearing.
 func parseCause(reason string) int {
 	for _, p := range strings.Split(reason, ";") {
@@ -560,150 +382,6 @@
 	return 16
 }
 
-func (s *Callers) handleInvite(c *callerConn, id string, m *sip.Message) {
-	if c.closed {
-		return // the caller closed the connection after the set-up, and the close was handled first
-	}
-	// A repeated set-up must not run twice or get a second answer, and a Call-ID must not be used for another call. A copy on
-	// the connection of the first set-up is ignored, since the first one's answer serves both; any other is refused.
-	leg := s.legs[id]
-	connNumber, finished := s.finished[id]
-	switch {
-	case finished && connNumber == c.number, leg != nil && leg.conn == c &&
-		(!leg.pending || leg.call.Description == m.Body && leg.call.Number == m.User()):
-		s.core.Metrics.Duplicates.Inc()
-		return
-	case leg != nil && leg.pending && leg.conn == c:
-		// Two set-ups with one Call-ID on one connection: their answers could not be told apart.
-		s.core.Metrics.Malformed.Inc()
-		s.finish(id)
-		s.core.Abandoned(leg.call)
-		c.send(m.Response(400, "Bad Request", ""))
-		c.link.CloseAfterFlush()
-		c.tearDown()
-		return
-	case leg != nil || finished:
-		s.core.Metrics.Duplicates.Inc()
-		c.refuseBad(m, 482, "Loop Detected")
-		return
-	}
-	k, err := s.parseInvite(id, m)
-	if err != nil {
-		s.core.Metrics.Malformed.Inc()
-		s.log.Debug("invalid set-up refused", zap.Error(err))
-		c.refuseBad(m, 400, "Bad Request")
-		return
-	}
-	head := m.CloneForResponses()
-	leg = &callLeg{call: k, conn: c, invite: head, size: len(k.Description), pending: true}
-	for _, h := range head.Headers {
-		leg.size += len(h.Name) + len(h.Value)
-	}
-	if reason := s.reasonToRefuse(c, leg); reason != "" {
-		s.log.Debug("set-up refused on arrival", zap.String("call", id), zap.Uint64("connection", c.number),
-			zap.String("reason", reason))
-		s.core.Metrics.RateLimited.Inc()
-		s.core.CountRefused(k)
-		c.send(m.Response(503, "Service Unavailable", ""))
-		c.closeIfIdle()
-		return
-	}
-	if !c.gotCall {
-		c.gotCall = true
-		s.resendByes()
-	}
-	k.Leg = leg
-	s.legs[id], c.legs[id] = leg, leg
-	c.pending++
-	s.legBytes += leg.size
-	s.core.Offer(k)
-}
-
-// reasonToRefuse says why a set-up cannot be offered to the core; "" if it can.
-func (s *Callers) reasonToRefuse(c *callerConn, leg *callLeg) string {
-	switch {
-	case s.stopping:
-		return "the agent is shutting down"
-	case s.drainRefusing:
-		return "callers are drained"
-	case c.pending >= maxPendingPerConn:
-		return "too many set-ups pending on the connection"
-	case s.legBytes+leg.size > s.maxBytes:
-		return "memory for set-ups is used up"
-	}
-	return ""
-}
-
-// validCallID reports whether an id has the form that this protocol uses: 16 hex digits.
-func validCallID(id string) bool {
-	_, err := strconv.ParseUint(id, 16, 64)
-	return err == nil && len(id) == 16
-}
-
-func (s *Callers) parseInvite(id string, m *sip.Message) (*agent.Call, error) {
-	// Cloned, since they outlive the message, whose strings all share one buffer.
-	k := &agent.Call{ID: strings.Clone(id), Number: strings.Clone(m.User()), Description: strings.Clone(m.Body),
-		Caller: s, Dest: -1, Via: -1}
-	// These checks protect the other set-ups on a connection to a far end, which closes it when it cannot parse a line.
-	switch {
-	case !validCallID(id):
-		return nil, fmt.Errorf("Call-ID %q is not 16 hex digits", id)
-	case !utf8.ValidString(k.Number) || !utf8.ValidString(k.Description):
-		return nil, fmt.Errorf("the number or the description is not valid UTF-8")
-	case len(k.Description)+len(k.Number) > farend.MaxLine/8 && len(launchLine(k, "", 0).Append(nil)) > farend.MaxLine-64:
-		return nil, fmt.Errorf("the description is too long to be sent to a far end")
-	}
-	if k.Class = s.core.ClassIndex(m.Get("P-Kind")); k.Class < 0 {
-		return nil, fmt.Errorf("class %q is not in the settings", m.Get("P-Kind"))
-	}
-	class := s.core.Settings.Classes[k.Class]
-	k.Width, k.TimeLeft = class.Width, class.HardLimit
-	if v := m.Get("P-Time-Left"); v != "" {
-		ms, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(ms >= 0 && ms < 1e9) {
-			return nil, fmt.Errorf("invalid P-Time-Left %q", v)
-		}
-		k.TimeLeft = time.Duration(ms * float64(time.Millisecond))
-	}
-	k.NumberKey = agent.NumberKey(k.Number)
-	if m.Get("P-Second-Try") == "1" {
-		k.Flags |= tinbeam.FlagRedial
-	}
-	for _, part := range strings.Split(m.Get("P-Path"), ";") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
-		v, err := strconv.ParseFloat(value, 64)
-		if name == "" {
-			continue
-		}
-		if err != nil || !(v >= -1e6 && v <= 1e6) {
-			return nil, fmt.Errorf("invalid P-Path field %q", part)
-		}
-		switch name {
-		case "dest":
-			k.Dest = int(v)
-		case "width":
-			if v <= 0 {
-				return nil, fmt.Errorf("invalid P-Path field %q", part)
-			}
-			k.Width = v
-		case "via":
-			k.Via = int(v)
-		case "transit":
-			if v == 1 {
-				k.Flags |= tinbeam.FlagTransit
-			}
-		case "again":
-			if v == 1 {
-				k.Flags |= tinbeam.FlagRepeated
-			}
-		}
-	}
-	if k.Dest < 0 {
-		return nil, fmt.Errorf("P-Path names no destination")
-	}
-	return k, nil
-}
-
 // Answer notifies the caller that its call is established.
 func (s *Callers) Answer(k *agent.Call, description string) {
 	leg := k.Leg.(*callLeg)
@@ -728,86 +406,6 @@
 	leg.conn.closeIfIdle()
 }
 
-// Release notifies the caller that its call has ended. The BYE is resent, on any connection available,
-// until it is confirmed or byeTTL has passed.
-func (s *Callers) Release(k *agent.Call, cause int) {
-	leg := k.Leg.(*callLeg)
-	s.branch++
-	inv := leg.invite
-	uri := "sip:peer@net"
-	if from := inv.Get("From"); strings.Contains(from, "sip:") {
-		uri = strings.Trim(strings.SplitN(from, ";", 2)[0], "<> ")
-	}
-	bye := &sip.Message{Method: "BYE", URI: uri, Headers: []sip.Header{
-		{Name: "Via", Value: fmt.Sprintf("SIP/2.0/TCP %s;branch=z9hG4bK%x", s.sentBy, s.branch)},
-		{Name: "Max-Forwards", Value: "70"},
-		{Name: "Call-ID", Value: k.ID},
-		{Name: "CSeq", Value: "1 BYE"},
-		{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)}}}
-	if from, to := inv.Get("From"), inv.Get("To"); from != "" && to != "" {
-		bye.Headers = append(bye.Headers, sip.Header{Name: "From", Value: to}, sip.Header{Name: "To", Value: from})
-	}
-	leg.bye, leg.releasedAt = bye.Append(nil), s.core.Now()
-	leg.call = &agent.Call{ID: k.ID} // the rest of the call's state is not needed any longer
-	s.byes[k.ID] = leg
-	s.sendBye(leg)
-}
-
-// sendBye sends a BYE on the connection of the call's set-up. If that is closed it takes the connection of the highest rank above
-// rankCheckOnly, and of these the most recently active one. The connection that carried the BYE last is passed over: if it is
-// open and there is no other, the BYE stays assigned to it and is not sent again.
-func (s *Callers) sendBye(leg *callLeg) {
-	if c := leg.conn; !c.closed && c.link.Send(leg.bye, nil) {
-		leg.byeConn = c
-		return
-	}
-	last := leg.byeConn
-	leg.byeConn = nil
-	for rank := rankACKed; rank > rankCheckOnly; rank-- {
-		for i := len(s.conns) - 1; i >= 0; i-- {
-			if c := s.conns[i]; c != last && c.rank() == rank && c.link.Send(leg.bye, nil) {
-				leg.byeConn = c
-				return
-			}
-		}
-	}
-	if last != nil && !last.closed {
-		leg.byeConn = last // no other connection is available
-	}
-}
-
-// How certain it is that a connection leads to the callers, in rising order.
-const (
-	rankCheckOnly = iota // it has sent health checks only; the peer closes it after the answer and reads nothing else
-	rankUnknown          // it has sent nothing, nothing recently, or nothing that identifies a caller
-	rankCaller           // it has sent a set-up that could be offered
-	rankACKed            // it has sent an ACK of an answer
-)
-
-// rank rates a connection for sending a release. Without this, a release could go to a connection of somebody else, who sends
-// arbitrary messages and reads the release, while its caller never receives it.
-func (c *callerConn) rank() int {
-	switch {
-	case c.gotACK:
-		return rankACKed
-	case c.gotCall:
-		return rankCaller
-	case !c.gotMessage || c.gotNonOptions || c.callers.core.Now()-c.lastMessageAt >= byeRetryInterval:
-		return rankUnknown
-	}
-	return rankCheckOnly
-}
-
-// resendByes resends the releases that may not have reached the callers: the connection that they were sent on has closed, or
-// is not known to be a caller's, and they are not confirmed.
-func (s *Callers) resendByes() {
-	for _, leg := range s.unconfirmedReleases() {
-		if c := leg.byeConn; c == nil || c.closed || c != leg.conn && c.rank() < rankACKed {
-			s.sendBye(leg)
-		}
-	}
-}
-
 // sweep drops releases that were not confirmed in time, resends the others where needed, and closes idle connections.
 func (s *Callers) sweep() {
 	for id, leg := range s.unconfirmedReleases() {
--- /dev/null
+++ b/internal/platform/dial.go
@@ -0,0 +1,150 @@
+package platform
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam"
+	"tinbeam/internal/link"
+)
+
+// This file opens connections to far ends.
+
+// dial opens a connection if there are fewer than limit. It dials outside the core's loop and posts the result.
+func (x *farEnd) dial(limit int) {
+	f := x.farEnds
+	if len(f.byID) > singleConnAbove {
+		limit = 1
+	}
+	if f.closed || len(x.conns) >= limit || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt || !x.mayDial() {
+		return
+	}
+	x.dials++
+	x.lastDialAt = f.core.Now()
+	addr := x.addr
+	c := &farConn{farEnd: x}
+	again := f.core.After(slowDialTime, func() {
+		if f.byID[x.id] == x {
+			x.dial(limit)
+		}
+	})
+	go func() {
+		l, err := link.Dial(addr, f.dialTimeout, c)
+		f.core.Post(func() {
+			x.dials--
+			f.core.Stop(again)
+			x.dialed(c, l, err, addr)
+		})
+	}()
+}
+
+// mayDial reports whether no dial is in progress, or one that may hang.
+func (x *farEnd) mayDial() bool {
+	return x.dials == 0 || x.dials < maxDials && x.farEnds.core.Now()-x.lastDialAt >= slowDialTime
+}
+
+// dialed handles the result of a dial to an address.
+func (x *farEnd) dialed(c *farConn, l *link.Conn, err error, addr string) {
+	if err == nil && (x.addr != addr || x.farEnds.byID[x.id] != x || len(x.conns) >= maxConnsPerFarEnd) {
+		l.Close()
+		err = errNotWanted
+	}
+	if err != nil {
+		x.dialFailed(link.Refused(err))
+		return
+	}
+	x.connected(c, l)
+}
+
+// errNotWanted reports a connection that came up after the far end had changed its address, had gone, or had enough connections.
+var errNotWanted = errors.New("the connection is not wanted any more")
+
+// dialFailed handles a connection that could not be opened. A refused one proves that the process and its calls are gone.
+func (x *farEnd) dialFailed(refused bool) {
+	core := x.farEnds.core
+	core.Metrics.DialsFailed.Inc()
+	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused))
+	x.redialAt = core.Now() + redialDelay
+	x.reportReady()
+	if len(x.conns) > 0 {
+		return
+	}
+	if refused {
+		for a := range x.sortedAttempts() {
+			if !slices.Contains(x.waiting, a) {
+				continue
+			}
+			x.removeAttempt(a)
+			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+		}
+		x.resetAttempts(core.Now())
+		x.queuedReleases = nil // the process has lost its calls
+	}
+}
+
+// redialLater dials the next connection after a delay.
+func (x *farEnd) redialLater(delay time.Duration) {
+	x.redialAt = x.farEnds.core.Now() + delay
+	x.farEnds.core.At(x.redialAt, func() {
+		if x.farEnds.byID[x.id] == x {
+			x.dial(connsWanted)
+		}
+	})
+}
+
+// reportReady reports, once, that the group's state was received or cannot be.
+func (x *farEnd) reportReady() {
+	if !x.readyReported {
+		x.readyReported = true
+		x.farEnds.onReady()
+	}
+}
+
+func (x *farEnd) connected(c *farConn, l *link.Conn) {
+	core := x.farEnds.core
+	if c.closed {
+		// The connection was reset before the dial's result was handled. Without this, set-ups would be sent on it forever.
+		x.dialFailed(false)
+		x.redialLater(resetRedialDelay)
+		return
+	}
+	c.link, c.connectedAt = l, core.Now()
+	if c.groupState != nil && len(x.conns) == 0 {
+		core.Report(x.id, c.groupState) // it was received before the dial's result was handled
+	}
+	x.conns = append(x.conns, c)
+	x.lastReceivedAt, x.checkPending = core.Now(), false
+	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
+		zap.Int("set-ups waiting", len(x.waiting)))
+	core.Metrics.LinksUp.Inc()
+	for _, r := range x.queuedReleases {
+		if l.Send(r.line, nil) {
+			r.leg.stopConn = c
+		}
+	}
+	x.queuedReleases = nil
+	waiting := x.waiting
+	x.waiting = nil
+	for _, a := range waiting {
+		core.Stop(a.Leg.(*attemptLeg).expiry)
+		c.sendLaunch(a)
+	}
+	x.dial(connsWanted)
+}
+
+// openTestConn opens one more connection to an unresponsive far end. This keeps the established calls of a far end that only
+// hangs: its machine still accepts connections, while one to a machine that is gone or cut off is never opened.
+func (x *farEnd) openTestConn() {
+	if len(x.conns) >= maxConnsPerFarEnd {
+		for _, c := range x.conns {
+			if c.pending == 0 { // no set-up is lost with it
+				c.link.Close()
+				break
+			}
+		}
+	}
+	x.dial(maxConnsPerFarEnd)
+}
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"errors"
 	"fmt"
 	"iter"
 	"maps"
@@ -84,12 +83,6 @@
 	groupState   []float32    // the last state of the circuit group received here
 }
 
-// queuedRelease is the release of an attempt or call that could not be sent yet.
-type queuedRelease struct {
-	leg  *attemptLeg
-	line []byte
-}
-
 // attemptLeg is this front end's state of an attempt, kept in Attempt.Leg.
 type attemptLeg struct {
 	conn    *farConn
@@ -285,17 +278,6 @@
 	return best
 }
 
-// connFor returns the connection for the launch of an attempt; nil: none is open. The stop line of an earlier attempt of the call
-// must not arrive after the launch, which it would end: so the launch follows it on the same connection.
-func (x *farEnd) connFor(a *agent.Attempt) *farConn {
-	for p := a.Previous; p != nil; p = p.Previous {
-		if l, ok := p.Leg.(*attemptLeg); ok && p.Switch == a.Switch && slices.Contains(x.conns, l.stopConn) {
-			return l.stopConn
-		}
-	}
-	return x.leastLoaded()
-}
-
 // launchLine is the line that sets a call up at a far end.
 func launchLine(k *agent.Call, class string, left time.Duration) *farend.Message {
 	m := &farend.Message{Kind: farend.Launch, UID: k.ID, Body: k.Description, Meta: map[string]string{
@@ -320,61 +302,6 @@
 	c.link.Send(m.Append(nil), &l.handle) // if Send fails, the connection's close is reported and ends the attempt
 }
 
-// repeatStops sends the stop lines of the call's earlier attempts again if their connection has closed: they may not have arrived.
-func (c *farConn) repeatStops(a *agent.Attempt) {
-	for p := a.Previous; p != nil; p = p.Previous {
-		l, ok := p.Leg.(*attemptLeg)
-		if ok && p.Switch == a.Switch && l.stopConn != nil && l.stopConn != c && !l.ended {
-			c.link.Send(stopLine(p, farend.CauseNormal), nil)
-			l.stopConn = c
-		}
-	}
-}
-
-// Cancel withdraws a set-up that has not been written, or cancels it at the far end.
-func (f *FarEnds) Cancel(a *agent.Attempt) {
-	l := a.Leg.(*attemptLeg)
-	x := f.byID[a.Switch]
-	if x == nil {
-		return
-	}
-	x.removeAttempt(a)
-	if l.conn == nil || l.handle.Withdraw() {
-		f.core.Metrics.AttemptsWithdrawn.Inc()
-		return
-	}
-	x.sendStop(a, farend.CauseNormal)
-}
-
-// Release releases an established call.
-func (f *FarEnds) Release(a *agent.Attempt, cause int) {
-	x := f.byID[a.Switch]
-	if x == nil {
-		return
-	}
-	x.removeAttempt(a)
-	x.sendStop(a, cause)
-}
-
-// sendStop ends an attempt or a call at the far end: on the connection of its set-up, else on any other, else on the next one
-// opened.
-func (x *farEnd) sendStop(a *agent.Attempt, cause int) {
-	l, line := a.Leg.(*attemptLeg), stopLine(a, cause)
-	for _, c := range []*farConn{l.conn, x.leastLoaded()} {
-		if c != nil && !c.closed && c.link.Send(line, nil) {
-			l.stopConn = c
-			return
-		}
-	}
-	if len(x.queuedReleases) < maxQueuedReleases {
-		x.queuedReleases = append(x.queuedReleases, queuedRelease{l, line})
-	}
-}
-
-func stopLine(a *agent.Attempt, cause int) []byte {
-	return (&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
-}
-
 // Probe sends a load probe to a far end.
 func (f *FarEnds) Probe(id uint32) {
 	x := f.byID[id]
@@ -394,128 +321,6 @@
 	return c.link.Send((&farend.Message{Kind: farend.Check, UID: uid}).Append(nil), nil)
 }
 
-// dial opens a connection if there are fewer than limit. It dials outside the core's loop and posts the result.
-func (x *farEnd) dial(limit int) {
-	f := x.farEnds
-	if len(f.byID) > singleConnAbove {
-		limit = 1
-	}
-	if f.closed || len(x.conns) >= limit || x.mode == tinbeam.Gone || f.core.Now() < x.redialAt || !x.mayDial() {
-		return
-	}
-	x.dials++
-	x.lastDialAt = f.core.Now()
-	addr := x.addr
-	c := &farConn{farEnd: x}
-	again := f.core.After(slowDialTime, func() {
-		if f.byID[x.id] == x {
-			x.dial(limit)
-		}
-	})
-	go func() {
-		l, err := link.Dial(addr, f.dialTimeout, c)
-		f.core.Post(func() {
-			x.dials--
-			f.core.Stop(again)
-			x.dialed(c, l, err, addr)
-		})
-	}()
-}
-
-// mayDial reports whether no dial is in progress, or one that may hang.
-func (x *farEnd) mayDial() bool {
-	return x.dials == 0 || x.dials < maxDials && x.farEnds.core.Now()-x.lastDialAt >= slowDialTime
-}
-
-// dialed handles the result of a dial to an address.
-func (x *farEnd) dialed(c *farConn, l *link.Conn, err error, addr string) {
-	if err == nil && (x.addr != addr || x.farEnds.byID[x.id] != x || len(x.conns) >= maxConnsPerFarEnd) {
-		l.Close()
-		err = errNotWanted
-	}
-	if err != nil {
-		x.dialFailed(link.Refused(err))
-		return
-	}
-	x.connected(c, l)
-}
-
-// errNotWanted reports a connection that came up after the far end had changed its address, had gone, or had enough connections.
-var errNotWanted = errors.New("the connection is not wanted any more")
-
-// dialFailed handles a connection that could not be opened. A refused one proves that the process and its calls are gone.
-func (x *farEnd) dialFailed(refused bool) {
-	core := x.farEnds.core
-	core.Metrics.DialsFailed.Inc()
-	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused))
-	x.redialAt = core.Now() + redialDelay
-	x.reportReady()
-	if len(x.conns) > 0 {
-		return
-	}
-	if refused {
-		for a := range x.sortedAttempts() {
-			if !slices.Contains(x.waiting, a) {
-				continue
-			}
-			x.removeAttempt(a)
-			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
-		}
-		x.resetAttempts(core.Now())
-		x.queuedReleases = nil // the process has lost its calls
-	}
-}
-
-// redialLater dials the next connection after a delay.
-func (x *farEnd) redialLater(delay time.Duration) {
-	x.redialAt = x.farEnds.core.Now() + delay
-	x.farEnds.core.At(x.redialAt, func() {
-		if x.farEnds.byID[x.id] == x {
-			x.dial(connsWanted)
-		}
-	})
-}
-
-// reportReady reports, once, that the group's state was received or cannot be.
-func (x *farEnd) reportReady() {
-	if !x.readyReported {
-		x.readyReported = true
-		x.farEnds.onReady()
-	}
-}
-
-func (x *farEnd) connected(c *farConn, l *link.Conn) {
-	core := x.farEnds.core
-	if c.closed {
-		// The connection was reset before the dial's result was handled. Without this, set-ups would be sent on it forever.
-		x.dialFailed(false)
-		x.redialLater(resetRedialDelay)
-		return
-	}
-	c.link, c.connectedAt = l, core.Now()
-	if c.groupState != nil && len(x.conns) == 0 {
-		core.Report(x.id, c.groupState) // it was received before the dial's result was handled
-	}
-	x.conns = append(x.conns, c)
-	x.lastReceivedAt, x.checkPending = core.Now(), false
-	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
-		zap.Int("set-ups waiting", len(x.waiting)))
-	core.Metrics.LinksUp.Inc()
-	for _, r := range x.queuedReleases {
-		if l.Send(r.line, nil) {
-			r.leg.stopConn = c
-		}
-	}
-	x.queuedReleases = nil
-	waiting := x.waiting
-	x.waiting = nil
-	for _, a := range waiting {
-		core.Stop(a.Leg.(*attemptLeg).expiry)
-		c.sendLaunch(a)
-	}
-	x.dial(connsWanted)
-}
-
 // Data parses lines. A malformed line closes the connection at once and drops what still waits to be written: the lines
 // behind it cannot be parsed, so set-ups pending on the connection would get no answer.
 func (c *farConn) Data(l *link.Conn, b []byte) (int, error) {
@@ -714,17 +519,3 @@
 	}
 	return false
 }
-
-// openTestConn opens one more connection to an unresponsive far end. This keeps the established calls of a far end that only
-// hangs: its machine still accepts connections, while one to a machine that is gone or cut off is never opened.
-func (x *farEnd) openTestConn() {
-	if len(x.conns) >= maxConnsPerFarEnd {
-		for _, c := range x.conns {
-			if c.pending == 0 { // no set-up is lost with it
-				c.link.Close()
-				break
-			}
-		}
-	}
-	x.dial(maxConnsPerFarEnd)
-}
--- /dev/null
+++ b/internal/platform/releases.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"fmt"
+	"iter"
+	"strconv"
+	"strings"
+
+	"tinbeam/internal/agent"
+	"tinbeam/internal/sip"
+)
+
+// This file sends releases to callers until they are confirmed.
+
+// Release notifies the caller that its call has ended. The BYE is resent, on any connection available,
+// until it is confirmed or byeTTL has passed.
+func (s *Callers) Release(k *agent.Call, cause int) {
+	leg := k.Leg.(*callLeg)
+	s.branch++
+	inv := leg.invite
+	uri := "sip:peer@net"
+	if from := inv.Get("From"); strings.Contains(from, "sip:") {
+		uri = strings.Trim(strings.SplitN(from, ";", 2)[0], "<> ")
+	}
+	bye := &sip.Message{Method: "BYE", URI: uri, Headers: []sip.Header{
+		{Name: "Via", Value: fmt.Sprintf("SIP/2.0/TCP %s;branch=z9hG4bK%x", s.sentBy, s.branch)},
+		{Name: "Max-Forwards", Value: "70"},
+		{Name: "Call-ID", Value: k.ID},
+		{Name: "CSeq", Value: "1 BYE"},
+		{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)}}}
+	if from, to := inv.Get("From"), inv.Get("To"); from != "" && to != "" {
+		bye.Headers = append(bye.Headers, sip.Header{Name: "From", Value: to}, sip.Header{Name: "To", Value: from})
+	}
+	leg.bye, leg.releasedAt = bye.Append(nil), s.core.Now()
+	leg.call = &agent.Call{ID: k.ID} // the rest of the call's state is not needed any longer
+	s.byes[k.ID] = leg
+	s.sendBye(leg)
+}
+
+// sendBye sends a BYE on the connection of the call's set-up. If that is closed it takes the connection of the highest rank above
+// rankCheckOnly, and of these the most recently active one. The connection that carried the BYE last is passed over: if it is
+// open and there is no other, the BYE stays assigned to it and is not sent again.
+func (s *Callers) sendBye(leg *callLeg) {
+	if c := leg.conn; !c.closed && c.link.Send(leg.bye, nil) {
+		leg.byeConn = c
+		return
+	}
+	last := leg.byeConn
+	leg.byeConn = nil
+	for rank := rankACKed; rank > rankCheckOnly; rank-- {
+		for i := len(s.conns) - 1; i >= 0; i-- {
+			if c := s.conns[i]; c != last && c.rank() == rank && c.link.Send(leg.bye, nil) {
+				leg.byeConn = c
+				return
+			}
+		}
+	}
+	if last != nil && !last.closed {
+		leg.byeConn = last // no other connection is available
+	}
+}
+
+// How certain it is that a connection leads to the callers, in rising order.
+const (
+	rankCheckOnly = iota // it has sent health checks only; the peer closes it after the answer and reads nothing else
+	rankUnknown          // it has sent nothing, nothing recently, or nothing that identifies a caller
+	rankCaller           // it has sent a set-up that could be offered
+	rankACKed            // it has sent an ACK of an answer
+)
+
+// rank rates a connection for sending a release. Without this, a release could go to a connection of somebody else, who sends
+// arbitrary messages and reads the release, while its caller never receives it.
+func (c *callerConn) rank() int {
+	switch {
+	case c.gotACK:
+		return rankACKed
+	case c.gotCall:
+		return rankCaller
+	case !c.gotMessage || c.gotNonOptions || c.callers.core.Now()-c.lastMessageAt >= byeRetryInterval:
+		return rankUnknown
+	}
+	return rankCheckOnly
+}
+
+// resendByes resends the releases that may not have reached the callers: the connection that they were sent on has closed, or
+// is not known to be a caller's, and they are not confirmed.
+func (s *Callers) resendByes() {
+	for _, leg := range s.unconfirmedReleases() {
+		if c := leg.byeConn; c == nil || c.closed || c != leg.conn && c.rank() < rankACKed {
+			s.sendBye(leg)
+		}
+	}
+}
+
+// unconfirmedReleases yields the calls whose release no caller has confirmed, in the order of their IDs.
+func (s *Callers) unconfirmedReleases() iter.Seq2[string, *callLeg] {
+	return snapshot(s.byes, func(*callLeg) bool { return true })
+}
