--- a/internal/faultrig/checker.go
+++ b/internal/faultrig/checker.go
@@ -235,6 +235,10 @@
 	})
 }
 
+// writtenEarlier is the Note of a SetUpWritten event whose bytes were there when the connection was accepted: they were written at
+// an unknown earlier time, so they say nothing about drains.
+const writtenEarlier = "written before the connection was accepted"
+
 // removal is a change of the list after which a far end must not get set-ups.
 type removal struct {
 	change Event
@@ -257,7 +261,7 @@
 		removals[e.FarEnd] = list
 	}
 	for _, e := range c.events {
-		if e.Kind != SetUpWritten {
+		if e.Kind != SetUpWritten || e.Note == writtenEarlier {
 			continue
 		}
 		for _, r := range removals[e.FarEnd] {
--- a/internal/faultrig/checker_test.go
+++ b/internal/faultrig/checker_test.go
@@ -69,6 +69,8 @@
 		{"call left standing", ReleaseInTime, true, []Event{taken, described, answer(20 * ms), callEnded, end}},
 		{"set-up after the grace", DrainedFarEnd, true, []Event{drained, told(1010 * ms), written(1311 * ms)}},
 		{"set-up within the grace", DrainedFarEnd, false, []Event{drained, told(1010 * ms), written(1309 * ms)}},
+		{"set-up of an unknown earlier time", DrainedFarEnd, false, []Event{drained, told(1010 * ms),
+			at(1311*ms, Event{Kind: SetUpWritten, Call: "c", FarEnd: "f", Agent: "n", Connection: 1, Note: writtenEarlier})}},
 		{"told after an outage", DrainedFarEnd, true, []Event{discoveryDown, drained, discoveryUp, written(7801 * ms)}},
 		{"not yet told after an outage", DrainedFarEnd, false, []Event{discoveryDown, drained, discoveryUp, written(7799 * ms)}},
 		{"memory", MemoryLimit, true, []Event{at(ms, Event{Kind: ResourceUse, Agent: "n", Value: 101})}},
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tinbeam/internal/farend"
 )
 
@@ -146,20 +148,25 @@
 		p.closeEarly(agent)
 		return
 	}
+	l := &proxyLink{id: p.recorder.NextID(), proxy: p, agent: agent, launched: map[string]bool{}}
+	lines := make(chan []byte, 1024)
+	go l.carryRequests(lines)
 	time.Sleep(fault.OpenLate)
 	p.waitWhileSilent()
 	farSide, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", p.farEnd.addr())
 	if err != nil {
 		resetConn(agent)
+		for range lines { // until the reader has seen the reset
+		}
 		return
 	}
-	l := &proxyLink{id: p.recorder.NextID(), proxy: p, agent: agent, farEnd: farSide, launched: map[string]bool{}}
+	l.farEnd = farSide
 	_, _ = fmt.Fprintf(farSide, "%d\n", l.id)
 	p.mu.Lock()
 	p.links = append(p.links, l)
 	p.mu.Unlock()
 	go l.carryAnswers()
-	l.carryRequests()
+	l.forward(lines)
 }
 
 func (p *proxy) closeEarly(c net.Conn) {
@@ -196,10 +203,10 @@
 	_ = l.farEnd.Close()
 }
 
-// carryRequests passes on what the agent sends. It reads also while nothing may pass, to record when the agent wrote or closed.
-func (l *proxyLink) carryRequests() {
-	lines := make(chan []byte, 1024)
-	go l.forward(lines)
+// carryRequests reads what the agent sends. It reads also while nothing may pass, to record when the agent wrote or closed.
+func (l *proxyLink) carryRequests(lines chan<- []byte) {
+	defer close(lines)
+	early := unreadBytes(l.agent) // written before the connection was accepted, nobody saw when
 	in := bufio.NewReaderSize(l.agent, 64<<10)
 	for {
 		if _, err := in.ReadByte(); err != nil {
@@ -211,16 +218,25 @@
 		if err != nil {
 			break
 		}
-		l.recordRequest(line, firstByteAt)
+		l.recordRequest(line, firstByteAt, early > 0)
+		early -= len(line)
 		lines <- line
 	}
 	for call := range l.launched {
 		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: call, Connection: l.id, Note: "closed"})
 	}
-	close(lines)
 }
 
-func (l *proxyLink) recordRequest(line []byte, firstByteAt time.Duration) {
+// unreadBytes returns how many bytes have arrived on a connection and were not read.
+func unreadBytes(c net.Conn) (n int) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	}
+	return n
+}
+
+func (l *proxyLink) recordRequest(line []byte, firstByteAt time.Duration, early bool) {
 	m, _, err := farend.Parse(line)
 	if err != nil || m == nil {
 		return
@@ -228,8 +244,12 @@
 	switch m.Kind {
 	case farend.Launch:
 		l.launched[m.UID] = true
-		l.proxy.recorder.Add(Event{At: firstByteAt, Kind: SetUpWritten, FarEnd: l.proxy.farEnd.id, Call: m.UID,
-			Connection: l.id, Agent: agentOfCall(m.Body)})
+		e := Event{At: firstByteAt, Kind: SetUpWritten, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id,
+			Agent: agentOfCall(m.Body)}
+		if early {
+			e.Note = writtenEarlier
+		}
+		l.proxy.recorder.Add(e)
 	case farend.Stop:
 		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: anyConnection,
 			Note: "stop"})
