--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -366,7 +366,7 @@
 // Guards against set-ups that wait for one connection which never comes up: while a dial hangs, another one is tried.
 func TestSecondDialWhileOneHangs(t *testing.T) {
 	f := newFarEndFixture(t)
-	f.farEnds.dialTimeout = testTimeout
+	f.onLoop(func() { f.farEnds.dialTimeout = testTimeout })
 	// A listening socket with a full queue drops what comes next; the system sends it again after a second.
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
