Tests: no races of their own, and a far end that closes takes nothing in

Change: one goroutine waits for the process; a dial copies its timeout on the loop; a stand-in that closes all its connections takes in nothing that arrives meanwhile, as for a process that is gone.

--- a/cmd/tinbeam/signals_test.go
+++ b/cmd/tinbeam/signals_test.go
@@ -22,9 +22,15 @@
 	os.Exit(m.Run())
 }
 
-// startProgram starts the program as a process of its own, with standard error connected to the returned pipe, and waits until it
-// is running.
-func startProgram(t *testing.T) (*exec.Cmd, *os.File) {
+// program is a process of the program.
+type program struct {
+	*os.Process
+	log   *os.File              // the reading end of its standard error
+	ended chan *os.ProcessState // receives its state when it has ended
+}
+
+// startProgram starts the program as a process of its own and waits until it is running.
+func startProgram(t *testing.T) *program {
 	t.Helper()
 	raw, err := os.ReadFile("../../deploy/config.json")
 	if err != nil {
@@ -46,27 +52,29 @@
 		t.Fatal(err)
 	}
 	write.Close()
-	t.Cleanup(func() {
-		_ = command.Process.Kill()
+	p := &program{command.Process, read, make(chan *os.ProcessState, 1)}
+	waited := make(chan struct{})
+	go func() {
 		_ = command.Wait()
+		p.ended <- command.ProcessState
+		close(waited)
+	}()
+	t.Cleanup(func() {
+		_ = p.Kill()
+		<-waited
 		read.Close()
 	})
 	if _, err := bufio.NewReader(read).ReadString('\n'); err != nil { // its first line says that it is running
 		t.Fatal(err)
 	}
-	return command, read
+	return p
 }
 
 // waitEnded waits until the program has ended, and returns its state; nil: it has not.
-func waitEnded(command *exec.Cmd, timeout time.Duration) *os.ProcessState {
-	ended := make(chan struct{})
-	go func() {
-		_ = command.Wait()
-		close(ended)
-	}()
+func (p *program) waitEnded(timeout time.Duration) *os.ProcessState {
 	select {
-	case <-ended:
-		return command.ProcessState
+	case state := <-p.ended:
+		return state
 	case <-time.After(timeout):
 		return nil
 	}
@@ -75,14 +83,14 @@
 // Guards against a shutdown that never begins: a SIGTERM behind a burst of other signals must not be dropped.
 func TestTerminateBehindOtherSignals(t *testing.T) {
 	for range 5 {
-		command, read := startProgram(t)
-		go func() { _, _ = bufio.NewReader(read).WriteTo(discard{}) }()
+		p := startProgram(t)
+		go func() { _, _ = bufio.NewReader(p.log).WriteTo(discard{}) }()
 		for range 200 {
-			_ = command.Process.Signal(syscall.SIGHUP)
-			_ = command.Process.Signal(syscall.SIGUSR1)
+			_ = p.Signal(syscall.SIGHUP)
+			_ = p.Signal(syscall.SIGUSR1)
 		}
-		_ = command.Process.Signal(syscall.SIGTERM)
-		if state := waitEnded(command, 8*time.Second); state == nil || !state.Success() {
+		_ = p.Signal(syscall.SIGTERM)
+		if state := p.waitEnded(8 * time.Second); state == nil || !state.Success() {
 			t.Fatalf("after SIGTERM: %v", state)
 		}
 	}
@@ -95,30 +103,30 @@
 
 // Guards against a process that ends by itself: the reader of its log may go away, and the next line must not kill it.
 func TestReaderOfLogGoesAway(t *testing.T) {
-	command, read := startProgram(t)
-	read.Close()
+	p := startProgram(t)
+	p.log.Close()
 	for range 20 {
-		_ = command.Process.Signal(syscall.SIGHUP) // each one is logged
+		_ = p.Signal(syscall.SIGHUP) // each one is logged
 		time.Sleep(10 * time.Millisecond)
 	}
-	if state := waitEnded(command, 300*time.Millisecond); state != nil {
+	if state := p.waitEnded(300 * time.Millisecond); state != nil {
 		t.Fatalf("ended by itself: %v", state)
 	}
 }
 
 // Guards against an agent that hangs with its log: if the reader of its log stops reading, the agent goes on, and shuts down.
 func TestReaderOfLogHangs(t *testing.T) {
-	command, read := startProgram(t)
+	p := startProgram(t)
 	const pipeSize = 4096
-	if _, err := unix.FcntlInt(read.Fd(), unix.F_SETPIPE_SZ, pipeSize); err != nil {
+	if _, err := unix.FcntlInt(p.log.Fd(), unix.F_SETPIPE_SZ, pipeSize); err != nil {
 		t.Fatal(err)
 	}
 	for range 100 { // each one is logged, which fills the pipe
-		_ = command.Process.Signal(syscall.SIGHUP)
+		_ = p.Signal(syscall.SIGHUP)
 		time.Sleep(2 * time.Millisecond)
 	}
-	_ = command.Process.Signal(syscall.SIGTERM)
-	if state := waitEnded(command, 8*time.Second); state == nil || !state.Success() {
+	_ = p.Signal(syscall.SIGTERM)
+	if state := p.waitEnded(8 * time.Second); state == nil || !state.Success() {
 		t.Fatalf("after SIGTERM: %v", state)
 	}
 }
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -209,6 +209,9 @@
 		for {
 			n, err := c.Read(buf)
 			x.p.mu.Lock()
+			if !slices.Contains(x.conns, c) {
+				n = 0
+			}
 			data = append(data, buf[:n]...)
 			partial := 0
 			if x.isFarEnd {
@@ -247,7 +250,8 @@
 		x.udp.Close()
 	}
 	x.p.mu.Lock()
-	conns := append([]net.Conn(nil), x.conns...)
+	conns := x.conns
+	x.conns = nil // all of them are closed at once: what arrives on one after another was closed is not received
 	x.p.mu.Unlock()
 	for _, c := range conns {
 		c.(*net.TCPConn).SetLinger(0)
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -24,7 +24,7 @@
 	}
 	x.dials++
 	x.lastDialAt = f.core.Now()
-	addr := x.addr
+	addr, timeout := x.addr, f.dialTimeout
 	c := &farConn{farEnd: x}
 	again := f.core.After(slowDialTime, func() {
 		if f.byID[x.id] == x {
@@ -32,7 +32,7 @@
 		}
 	})
 	go func() {
-		l, err := link.Dial(addr, f.dialTimeout, c)
+		l, err := link.Dial(addr, timeout, c)
 		f.core.Post(func() {
 			x.dials--
 			f.core.Stop(again)
