Test of unhandled input passes its handler on instead of sharing a variable

The test wrote the variable with the next case's handler while netpoll's accept callback of the last case could still read it: the client had its connection before the callback had run. The race lay in the test alone; the trace shows no frame of the program but the call.

Change: each case gets its handler as an argument. Bound and cases stay.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -345,9 +345,8 @@
 			}
 		}
 	}
-	handler := slowHandler{make(chan struct{})}
-	for name, connect := range map[string]func() net.Conn{
-		"dialed": func() net.Conn {
+	for name, connect := range map[string]func(Handler) net.Conn{
+		"dialed": func(handler Handler) net.Conn {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -362,7 +361,7 @@
 			}
 			return peer
 		},
-		"accepted": func() net.Conn {
+		"accepted": func(handler Handler) net.Conn {
 			l, err := Listen("127.0.0.1:0", 10, 64<<10, func(*Conn) Handler { return handler })
 			if err != nil {
 				t.Fatal(err)
@@ -376,10 +375,9 @@
 			return c
 		},
 	} {
-		handler = slowHandler{make(chan struct{})}
 		runtime.GC()
 		before, done := heap(), make(chan struct{})
-		peer := connect()
+		peer := connect(slowHandler{make(chan struct{})})
 		go func() {
 			flood(peer)
 			close(done)
