Failing tests: set-ups lost when a connection is closed for its age

Two more ways in which the agent closes a caller's connection lose a set-up, found by reading for the mistake of the shutdown (close without a look at what is under way) in related code: the timeout for incomplete messages and for connections that say nothing, and the eviction at the limit on connections.

--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -560,3 +560,89 @@
 		t.Errorf("%d health checks are held, want the last one", len(s.heldHealthChecks))
 	}
 }
+
+// Guards against set-ups lost with the connection of a slow writer: while a set-up waits for its answer, an incomplete message
+// behind it must not close the connection.
+func TestSlowWriterKeepsItsSetUps(t *testing.T) {
+	s := newCallers()
+	c := listen(t, s)()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.core.UpdateFarEnds(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready}},
+		unresponsive{})
+	go s.core.Run(ctx)
+	whole := newInvite("9b1f03aa5c7e2d41", "check", "9000", "dest:1", "v=0").Append(nil)
+	next := newInvite("9b1f03aa5c7e2d42", "check", "9000", "dest:1", "v=0").Append(nil)
+	if _, err := c.Write(append(whole, next[:len(next)/2]...)); err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(readTimeout + 3*byeRetryInterval))
+	if n, err := c.Read(make([]byte, 4096)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d bytes, %v before the answer was due", n, err)
+	}
+	if _, err := c.Write(next[len(next)/2:]); err != nil || peerClosed(t, c) {
+		t.Errorf("the connection was closed: %v", err)
+	}
+}
+
+// Guards against a set-up lost with a connection that is closed for its age: the first one that arrives just then must be
+// answered, or stay unread, so that its caller gets a reset and may repeat it.
+func TestFirstSetUpArrivesAtATimeout(t *testing.T) {
+	closers := map[string]func(*Callers, *callerConn){
+		"timeout": func(s *Callers, c *callerConn) {
+			c.lastMessageAt -= 2 * readTimeout
+			s.sweep()
+		},
+		"eviction": func(s *Callers, c *callerConn) {
+			c.lastMessageAt -= 2 * minIdleToEvict
+			s.evict()
+		},
+	}
+	for name, closeOne := range closers {
+		t.Run(name, func(t *testing.T) {
+			s := newCallersWithClock(agent.SystemClock(), 1000)
+			connect := listen(t, s)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go s.core.Run(ctx)
+			s.core.Post(s.RefuseNewCalls)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for i := range 400 {
+				c := connect()
+				accepted := make(chan *callerConn)
+				var find func()
+				find = func() {
+					if len(s.conns) == 0 {
+						s.core.After(time.Millisecond, find)
+						return
+					}
+					accepted <- s.conns[0]
+				}
+				s.core.Post(find)
+				conn := <-accepted
+				s.core.Post(func() { closeOne(s, conn) })
+				for end := time.Now().Add(time.Duration(rng.IntN(200)) * time.Microsecond); time.Now().Before(end); {
+				}
+				_, err := c.Write(newInvite(fmt.Sprintf("%016x", i), "check", "9000", "dest:1", "v=0").Append(nil))
+				unsent := err != nil || peerClosed(t, c)
+				c.SetReadDeadline(time.Now().Add(20 * time.Second))
+				n, err := c.Read(make([]byte, 4096))
+				if !unsent && n == 0 && errors.Is(err, io.EOF) {
+					t.Fatalf("connection %d ended without an answer to the set-up that was read", i)
+				}
+				c.Close()
+				gone := make(chan struct{})
+				var wait func()
+				wait = func() {
+					if len(s.conns) > 0 {
+						s.core.After(time.Millisecond, wait)
+						return
+					}
+					close(gone)
+				}
+				s.core.Post(wait)
+				<-gone
+			}
+		})
+	}
+}
