Timeouts and eviction close a caller's connection without losing a set-up

What callers saw: a set-up that waited for its answer was lost after 2 s when its caller had begun the next message and wrote it slowly, and a first set-up that arrived as a connection was closed for its age, or evicted, ended with no answer and no reset.

Change: both use closeSoon, which pauses reading, waits until what was being read is visible, and closes only if nothing is pending, buffered or unread; of a message that trickles in, the rest stays unread. A connection with a set-up pending is never closed for an incomplete message: the deadline bounds that. An agent that says nothing at all is still closed after 2 s.

TestEvict waits the 3 ms that a close now takes; its expectations are unchanged.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -138,6 +138,7 @@
 	pending       int                 // of them, those without a final answer
 	badRequests   int                 // invalid requests refused
 	queued        atomic.Int32        // messages received and not handled yet
+	closeTrying   bool                // closeSoon is about to close it
 }
 
 // NewCallers returns the caller side. sentBy is the agent's address in the Via header. Above softConnLimit connections, each
@@ -414,14 +415,7 @@
 		}
 	}
 	s.resendByes()
-	for _, c := range slices.Clone(s.conns) {
-		// Frees the file descriptors of peers that open a connection, or begin a message, and send nothing more.
-		if !c.gotMessage && s.core.Now()-c.lastMessageAt > readTimeout || c.link.StalledFor() > readTimeout {
-			s.core.Metrics.CallersTimedOut.Inc()
-			c.link.Close()
-			c.tearDown()
-		}
-	}
+	s.closeTimedOut()
 	s.closeIdle()
 	s.core.Metrics.QueueLength.Set(int64(s.core.Queued()))
 }
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -128,12 +128,18 @@
 		}
 		return c
 	}
+	settle := func() { // a connection is closed once nothing can be being read on it any more
+		time.Sleep(settleTime)
+		now += settleTime
+		s.core.Step()
+	}
 	dial()
 	established := s.conns[0]
 	established.legs["9b1f03aa5c7e2d41"] = &callLeg{conn: established}
 	idle := dial()
 	now += minIdleToEvict
 	dial()
+	settle()
 	if len(s.conns) != 2 || s.conns[0] != established || s.core.Metrics.CallersEvicted.Value() != 1 {
 		t.Errorf("%d connections, %d evicted", len(s.conns), s.core.Metrics.CallersEvicted.Value())
 	}
@@ -142,6 +148,7 @@
 		t.Errorf("read %d, %v from the evicted connection", n, err)
 	}
 	dial() // no connection can be evicted for it
+	settle()
 	if len(s.conns) != 3 {
 		t.Errorf("%d connections, want 3", len(s.conns))
 	}
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -7,6 +7,9 @@
 
 // This file drains callers and closes their connections without losing a set-up.
 
+// settleTime is the time from a pause of reading until what was being read at that moment is certain to be visible.
+const settleTime = 3 * time.Millisecond
+
 // DrainSchedule says when the steps of a drain begin, counted from its start. With 0 a step is left out.
 type DrainSchedule struct {
 	CloseAfter  time.Duration // from then on each connection is closed as soon as no set-up is pending on it
@@ -102,6 +105,50 @@
 	}
 }
 
+// closeSoon pauses reading, and closes the connection a little later if the condition still holds and nothing has arrived on it that
+// was read and not dealt with. A set-up that arrives in between is served, or stays unread. closed is called if it was closed.
+func (c *callerConn) closeSoon(condition func() bool, closed func()) {
+	if c.closeTrying {
+		return
+	}
+	c.closeTrying = true
+	c.link.PauseReading()
+	c.callers.core.After(settleTime, func() {
+		c.closeTrying = false
+		if c.closed {
+			return
+		}
+		closeNow := c.link.CloseIfIdle
+		if c.link.StalledFor() > 0 { // what is left of a message may trickle in forever
+			closeNow = c.link.CloseIfReadIsHandled
+		}
+		if c.pending > 0 || !condition() || !c.link.ReadingPaused() || !closeNow(c.queueEmpty) {
+			c.link.ResumeReading()
+			return
+		}
+		c.tearDown()
+		closed()
+	})
+}
+
+// closeTimedOut frees the file descriptors of peers that open a connection, or begin a message, and send nothing more.
+func (s *Callers) closeTimedOut() {
+	for _, c := range slices.Clone(s.conns) {
+		if c.pending == 0 && c.timedOut() {
+			c.closeSoon(c.timedOut, s.core.Metrics.CallersTimedOut.Inc)
+		}
+	}
+}
+
+// timedOut reports whether the first message, or the rest of a message, has not come in time.
+func (c *callerConn) timedOut() bool {
+	stalled := c.link.StalledFor()
+	return !c.gotMessage && stalled == 0 && c.idleFor() > readTimeout || stalled > readTimeout
+}
+
+// idleFor returns the time since the last message, or since the accept.
+func (c *callerConn) idleFor() time.Duration { return c.callers.core.Now() - c.lastMessageAt }
+
 // queueEmpty reports whether all messages received on the connection have been handled.
 func (c *callerConn) queueEmpty() bool { return c.queued.Load() == 0 }
 
@@ -127,10 +174,15 @@
 func (s *Callers) evict() {
 	for _, silent := range []bool{true, false} {
 		for _, c := range s.conns {
-			if c.gotMessage != silent && len(c.legs) == 0 && s.core.Now()-c.lastMessageAt >= minIdleToEvict && c.closeIfHandled() {
-				s.core.Metrics.CallersEvicted.Inc()
+			if c.gotMessage != silent && c.evictable() && !c.closeTrying {
+				c.closeSoon(c.evictable, s.core.Metrics.CallersEvicted.Inc)
 				return
 			}
 		}
 	}
 }
+
+// evictable reports whether a connection has no call and has been idle for long enough to be closed for another one.
+func (c *callerConn) evictable() bool {
+	return len(c.legs) == 0 && c.idleFor() >= minIdleToEvict && c.link.StalledFor() == 0
+}
