Rig: slow writers, copies, retries at once, transit and late first set-ups; a failing test

The rig's callers now write set-ups in up to eight pieces over up to 4 s, send copies, come again at once after a refusal, and open connections on which the first set-up comes about when an agent closes silent ones.

--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -19,9 +19,14 @@
 
 const (
 	statusOK          = 200
+	statusUnavailable = 503
 	idleCloseTime     = 4 * time.Second // a caller closes a connection without a call after this
 	reconnectInterval = 40 * time.Millisecond
-	tcpEstablished    = 1 // TCP_ESTABLISHED of the kernel's state machine
+	tcpEstablished    = 1                      // TCP_ESTABLISHED of the kernel's state machine
+	copyTime          = 400 * time.Millisecond // a copy of a set-up comes within this
+	maxPieces         = 8                      // of a message that is written in pieces
+	silentConnTime    = 1950 * time.Millisecond
+	silentConnSpread  = 450 * time.Millisecond
 )
 
 // request is one set-up of a caller.
@@ -34,6 +39,7 @@
 	open     bool // it was taken and has no final answer
 	stands   bool
 	moved    bool // it was sent again after it had crossed a close
+	retry    bool // it comes again after a refusal, as a new set-up
 	message  []byte
 }
 
@@ -58,6 +64,11 @@
 	ShareGivenUp float64       // of the set-ups, those that are cancelled early
 	ShareDropped float64       // of the set-ups, those whose connection the caller closes
 	ShareSplit   float64       // of the set-ups, those that are written in pieces
+	ShareCopied  float64       // of the set-ups, those that are sent again on the same connection before or after the answer
+	ShareRetried float64       // of the refused set-ups, those that come again at once as a new one
+	ShareTransit float64       // of the set-ups, those that are in transit
+	ShareLate    float64       // of the connections, those on which the first set-up comes about when an agent closes silent ones
+	SlowestWrite time.Duration // of a set-up that is written in pieces, the longest time for it
 	ShareHangups float64       // of the calls, those that the caller releases
 	Destinations int
 	BodySize     int // bytes of the description at most
@@ -143,6 +154,9 @@
 	for _, r := range again {
 		conn.send(r, 0)
 	}
+	if c.chance(c.plan.ShareLate) && conn.waitSilently(random(c, lateFirstCall)) {
+		c.newCall(conn, false)
+	}
 	lastCall := time.Now()
 	for {
 		wait := time.Duration(random(c, (*rand.Rand).ExpFloat64) * float64(c.plan.Interval))
@@ -157,7 +171,7 @@
 			return true
 		}
 		if wait < time.Second {
-			c.newCall(conn)
+			c.newCall(conn, false)
 			lastCall = time.Now()
 		} else if time.Since(lastCall) > idleCloseTime && !conn.busy() {
 			conn.Close()
@@ -200,29 +214,68 @@
 	return agent
 }
 
+// lateFirstCall draws how long a connection stays silent before its first set-up.
+func lateFirstCall(r *rand.Rand) time.Duration {
+	return silentConnTime + time.Duration(r.Int64N(int64(silentConnSpread)))
+}
+
+// waitSilently waits, and reports whether the connection is still open afterwards.
+func (conn *callerConn) waitSilently(d time.Duration) bool {
+	select {
+	case <-conn.ended:
+		return false
+	case <-time.After(d):
+		return !conn.crowd.stopped()
+	}
+}
+
 // newCall sends a new set-up.
-func (c *crowd) newCall(conn *callerConn) {
+func (c *crowd) newCall(conn *callerConn, retry bool) {
+	r, left := c.newRequest(retry)
+	conn.send(r, left)
+	switch {
+	case c.chance(c.plan.ShareGivenUp):
+		time.AfterFunc(time.Duration(random(c, (*rand.Rand).Float64)*float64(left)/4), func() { conn.cancel(r) })
+	case c.chance(c.plan.ShareDropped):
+		time.Sleep(time.Duration(random(c, (*rand.Rand).Float64) * float64(30*time.Millisecond)))
+		conn.drop()
+	case c.chance(c.plan.ShareCopied):
+		time.AfterFunc(time.Duration(random(c, (*rand.Rand).Float64)*float64(copyTime)), func() { conn.sendCopy(r) })
+	}
+}
+
+// newRequest makes a set-up, and draws the time until its deadline.
+func (c *crowd) newRequest(retry bool) (r *request, left time.Duration) {
 	c.mu.Lock()
-	r := &request{id: fmt.Sprintf("%016x", c.rng.Uint64()), agent: c.agent}
-	left := time.Duration(300+c.rng.IntN(2000)) * time.Millisecond
-	class := classNames[c.rng.IntN(len(classNames))]
+	defer c.mu.Unlock()
+	r = &request{id: fmt.Sprintf("%016x", c.rng.Uint64()), agent: c.agent, retry: retry}
+	left = time.Duration(300+c.rng.IntN(2000)) * time.Millisecond
 	path := fmt.Sprintf("dest:%d;width:1;via:-1", 1+c.rng.IntN(c.plan.Destinations))
+	if c.rng.Float64() < c.plan.ShareTransit {
+		path += ";transit:1"
+	}
 	body := fmt.Sprintf("v=0 %s ", c.agent) + strings.Repeat("x", c.rng.IntN(max(c.plan.BodySize, 1))) + "\r\n"
 	number := fmt.Sprintf("%016x", c.rng.Uint64())
-	c.requests[r.id] = r
-	c.mu.Unlock()
 	m := &sip.Message{Method: "INVITE", URI: "sip:" + number + "@net", Body: body, Headers: []sip.Header{
 		{Name: "Via", Value: "SIP/2.0/TCP peer"}, {Name: "Call-ID", Value: r.id}, {Name: "CSeq", Value: "1 INVITE"},
-		{Name: "P-Kind", Value: class}, {Name: "P-Time-Left", Value: fmt.Sprint(left.Milliseconds())},
+		{Name: "P-Kind", Value: classNames[c.rng.IntN(len(classNames))]}, {Name: "P-Time-Left", Value: fmt.Sprint(left.Milliseconds())},
 		{Name: "P-Path", Value: path}}}
+	if retry {
+		m.Headers = append(m.Headers, sip.Header{Name: "P-Second-Try", Value: "1"})
+	}
 	r.message = m.Append(nil)
-	conn.send(r, left)
-	switch {
-	case c.chance(c.plan.ShareGivenUp):
-		time.AfterFunc(time.Duration(random(c, (*rand.Rand).Float64)*float64(left)/4), func() { conn.cancel(r) })
-	case c.chance(c.plan.ShareDropped):
-		time.Sleep(time.Duration(random(c, (*rand.Rand).Float64) * float64(30*time.Millisecond)))
-		conn.drop()
+	c.requests[r.id] = r
+	return r, left
+}
+
+// sendCopy sends a set-up once more on its connection, which must bring neither a second attempt nor a second answer.
+func (conn *callerConn) sendCopy(r *request) {
+	c := conn.crowd
+	c.mu.Lock()
+	same := r.conn == conn
+	c.mu.Unlock()
+	if same {
+		conn.writeBytes(r.message)
 	}
 }
 
@@ -234,15 +287,12 @@
 	c.mu.Lock()
 	r.conn = conn
 	c.mu.Unlock()
-	head, tail := []byte(nil), r.message
+	tail := r.message
 	if c.chance(c.plan.ShareSplit) {
-		head, tail = tail[:len(tail)/2], tail[len(tail)/2:]
-	}
-	if len(head) > 0 {
-		if _, err := conn.Write(head); err != nil {
+		var err error
+		if tail, err = conn.writePieces(r.message); err != nil {
 			return
 		}
-		time.Sleep(time.Duration(random(c, (*rand.Rand).Float64) * float64(80*time.Millisecond)))
 	}
 	c.mu.Lock()
 	r.takenAt = c.recorder.Now()
@@ -264,6 +314,22 @@
 	c.recorder.Add(Event{At: r.takenAt, Kind: RequestTaken, Agent: c.agent, Call: r.id, Deadline: r.deadline})
 }
 
+// writePieces writes a message slowly in pieces, but for its last one, which it returns.
+func (conn *callerConn) writePieces(message []byte) (last []byte, err error) {
+	c := conn.crowd
+	pieces := 2 + random(c, func(r *rand.Rand) int { return r.IntN(maxPieces - 1) })
+	total := time.Duration(random(c, (*rand.Rand).Float64) * float64(c.plan.SlowestWrite))
+	for ; pieces > 1; pieces-- {
+		n := len(message) / pieces
+		if _, err := conn.Write(message[:n]); err != nil {
+			return nil, err
+		}
+		message = message[n:]
+		time.Sleep(total / time.Duration(pieces))
+	}
+	return message, nil
+}
+
 // established reports whether the peer had not closed the connection when the last write ended.
 func (conn *callerConn) established() bool {
 	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
@@ -278,10 +344,13 @@
 	return up
 }
 
-func (conn *callerConn) write(m *sip.Message) {
+// write writes a message behind what is being written. It does not block the reader, which a slow writer would hold up.
+func (conn *callerConn) write(m *sip.Message) { go conn.writeBytes(m.Append(nil)) }
+
+func (conn *callerConn) writeBytes(b []byte) {
 	conn.writes.Lock()
 	defer conn.writes.Unlock()
-	if _, err := conn.Write(m.Append(nil)); errors.Is(err, syscall.ECONNRESET) {
+	if _, err := conn.Write(b); errors.Is(err, syscall.ECONNRESET) {
 		conn.resetSeen.Store(true)
 	}
 }
@@ -359,6 +428,8 @@
 			r.stands = false
 		}
 		c.mu.Unlock()
+	case m.CSeqMethod() == "BYE" && m.Status == statusOK:
+		c.recorder.Add(Event{Kind: HangupHeard, Agent: c.agent, Call: id})
 	case r == nil || m.CSeqMethod() != "INVITE" || m.Status < 200:
 	default:
 		conn.handleFinal(r, m)
@@ -379,6 +450,9 @@
 	}
 	c.recorder.Add(Event{Kind: FinalAnswer, Agent: c.agent, Call: r.id, Value: int64(m.Status), Note: m.Body})
 	conn.write(newRequest("ACK", r.id))
+	if wasOpen && m.Status == statusUnavailable && !r.retry && c.chance(c.plan.ShareRetried) && !c.stopped() {
+		go c.newCall(conn, true)
+	}
 	if !wasOpen && m.Status == statusOK { // it crossed the cancel
 		conn.hangUp(r)
 		return
--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -78,7 +78,8 @@
 		MemoryMB: []int{48, 64, 192}[d.IntN(3)], Sockets: []int{256, 512, 1024}[d.IntN(3)], BadClients: d.IntN(4),
 		Traffic: traffic{Callers: 6 + d.IntN(10), Interval: d.between(100*time.Millisecond, 400*time.Millisecond),
 			ShareGivenUp: 0.08 * d.Float64(), ShareDropped: 0.03 * d.Float64(), ShareSplit: 0.3 * d.Float64(),
-			ShareHangups: 0.2, BodySize: 300}}
+			ShareCopied: 0.1 * d.Float64(), ShareRetried: d.Float64(), ShareTransit: 0.1, ShareLate: 0.5 * d.Float64(),
+			SlowestWrite: []time.Duration{80, 800, 4000}[d.IntN(3)] * time.Millisecond, ShareHangups: 0.2, BodySize: 300}}
 	plan.Traffic.Destinations = plan.FarEnds
 	plan.addLinkFaults(d)
 	plan.addFarEndFaults(d)
--- a/internal/faultrig/record.go
+++ b/internal/faultrig/record.go
@@ -31,6 +31,7 @@
 	ConnectionEnded EventKind = "connection_ended" // a connection with the request unanswered ended; Note says how
 	ReleaseHeard    EventKind = "release_heard"    // a BYE arrived at a caller
 	CallerHangup    EventKind = "caller_hangup"    // a caller sent a BYE
+	HangupHeard     EventKind = "hangup_heard"     // the agent confirmed a caller's BYE
 
 	// The change log.
 	ListChanged   EventKind = "list_changed"   // Value is the sequence number, Note the state of FarEnd
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -653,3 +653,32 @@
 		})
 	}
 }
+
+// Guards against a second final answer: a copy of a set-up that was refused on arrival must be ignored like one of any other
+// set-up that has its answer.
+func TestCopyOfSetUpRefusedOnArrival(t *testing.T) {
+	s := newCallers()
+	c := listen(t, s)()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.core.Run(ctx)
+	s.core.Post(s.RefuseNewCalls)
+	invite := newInvite("9b1f03aa5c7e2d41", "check", "9000", "dest:1", "v=0").Append(nil)
+	check := (&sip.Message{Method: "OPTIONS", URI: "sip:ping@net", Headers: []sip.Header{
+		{Name: "Call-ID", Value: "0000000000000f01"}}}).Append(nil)
+	if _, err := c.Write(slices.Concat(invite, invite, check)); err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	var got []byte
+	for buf := make([]byte, 4096); !bytes.Contains(got, []byte("0000000000000f01")); {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, buf[:n]...)
+	}
+	if n := bytes.Count(got, []byte("9b1f03aa5c7e2d41")); n != 1 {
+		t.Errorf("%d final answers: %q", n, got)
+	}
+}
