A set-up refused on arrival is remembered, so that a copy gets no second answer

What callers saw: during a shutdown, or beyond a limit, a set-up that came twice on a connection got two 503 answers; one whose copy came after the limit had eased would have run after its refusal.

Cause: handleInvite refused it before any state was kept; only calls that had been offered were remembered (finish). Class: a reply path that leaves out the bookkeeping of the others.

Change: finish is split, and its second half, remember, is also called for refusals on arrival. The list's bounds are as before.

Left: a set-up refused in Data, beyond 256 unhandled messages of its connection, is not remembered.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -88,8 +88,13 @@
 	}
 	id = leg.call.ID // the parameter may be part of a message, and would keep all of it in memory
 	s.removeLeg(id)
+	s.remember(id, leg.conn)
+}
+
+// remember stores the Call-ID of a finished call and the connection that its set-up came on.
+func (s *Callers) remember(id string, c *callerConn) {
 	if _, ok := s.finished[id]; !ok {
-		s.finished[id] = leg.conn.number
+		s.finished[id] = c.number
 		s.finishedOrder = append(s.finishedOrder, finishedCall{id, s.core.Now()})
 	}
 	for len(s.finishedOrder) > 0 && (len(s.finishedOrder) > maxFinished ||
--- a/internal/platform/invite.go
+++ b/internal/platform/invite.go
@@ -61,6 +61,7 @@
 			zap.String("reason", reason))
 		s.core.Metrics.RateLimited.Inc()
 		s.core.CountRefused(k)
+		s.remember(k.ID, c)
 		c.send(m.Response(503, "Service Unavailable", ""))
 		c.closeIfIdle()
 		return
