--- a/internal/faultrig/discovery.go
+++ b/internal/faultrig/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -87,8 +88,14 @@
 	discoveryServes discoveryMode = iota
 	discoverySilent               // connections come up and stay open, and nothing is sent
 	discoveryDown                 // connections are refused
+	discoverySlow                 // frames come in pieces, the last one after slowFrameTime
+	discoverySpoilt               // of the frames, half are spoilt or cut by a reset
 )
 
+// slowFrameTime is how long a frame takes from a slow server. A change that was written slowly counts as told when it is whole, or
+// by the fixed time.
+const slowFrameTime = 3 * time.Second
+
 // discovery is a server of the change log for one agent.
 type discovery struct {
 	agent    string
@@ -98,10 +105,11 @@
 	mode     discoveryMode
 	listener net.Listener
 	conns    []net.Conn
+	rng      *rand.Rand
 }
 
-func newDiscovery(agent string, log *changeLog) (*discovery, error) {
-	d := &discovery{agent: agent, log: log}
+func newDiscovery(agent string, log *changeLog, seed uint64) (*discovery, error) {
+	d := &discovery{agent: agent, log: log, rng: rand.New(rand.NewPCG(seed, 0xd1))}
 	return d, d.listen()
 }
 
@@ -127,6 +135,11 @@
 	return nil
 }
 
+// unreachable reports whether a server does not tell changes at all, or not reliably.
+func (m discoveryMode) unreachable() bool {
+	return m == discoverySilent || m == discoveryDown || m == discoverySpoilt
+}
+
 // setMode changes the behaviour of the server.
 func (d *discovery) setMode(mode discoveryMode) error {
 	d.mu.Lock()
@@ -140,7 +153,7 @@
 			resetConn(c)
 		}
 	}
-	if mode != discoveryServes && before == discoveryServes {
+	if mode.unreachable() && !before.unreachable() {
 		d.log.recorder.Add(Event{Kind: DiscoveryDown, Agent: d.agent})
 	}
 	if mode != discoveryDown && before == discoveryDown {
@@ -148,18 +161,20 @@
 			return err
 		}
 	}
-	if mode == discoveryServes && before != discoveryServes {
+	if !mode.unreachable() && before.unreachable() {
 		d.log.recorder.Add(Event{Kind: DiscoveryUp, Agent: d.agent})
 	}
 	return nil
 }
 
-func (d *discovery) serves() bool {
+func (d *discovery) presentMode() discoveryMode {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.mode == discoveryServes
+	return d.mode
 }
 
+func (d *discovery) silent() bool { return d.presentMode() == discoverySilent }
+
 // serve sends all events after the one that the agent names, and a keep-alive each second.
 func (d *discovery) serve(c net.Conn) {
 	defer c.Close()
@@ -175,14 +190,15 @@
 	if _, err := io.ReadFull(c, request); err != nil {
 		return
 	}
-	if !d.serves() { // a watch that was opened in silence stays silent
+	if d.silent() { // a watch that was opened in silence stays silent
 		_, _ = io.Copy(io.Discard, c)
 		return
 	}
 	next := binary.BigEndian.Uint64(request) + 1
 	lastSent := time.Now()
+	readable := true // no frame was spoilt yet
 	for {
-		if !d.serves() { // open watches fall silent, and stay so
+		if d.silent() { // open watches fall silent, and stay so
 			_, _ = io.Copy(io.Discard, c)
 			return
 		}
@@ -195,12 +211,84 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		if _, err := c.Write(frame); err != nil {
+		intact, err := d.writeFrame(c, frame)
+		if err != nil {
 			return
 		}
 		lastSent = time.Now()
-		d.log.recorder.Add(Event{Kind: ListDelivered, Agent: d.agent, Value: int64(next - 1)})
+		if readable = readable && intact; readable {
+			d.log.recorder.Add(Event{Kind: ListDelivered, Agent: d.agent, Value: int64(next - 1)})
+		}
+	}
+}
+
+// writeFrame writes a frame in the way of the present mode, and reports whether it was written as it is.
+func (d *discovery) writeFrame(c net.Conn, frame []byte) (intact bool, err error) {
+	switch d.presentMode() {
+	case discoverySlow:
+		return true, writeSlowly(c, frame)
+	case discoverySpoilt:
+		if fault := d.drawSpoiltFrame(); fault != frameIntact {
+			return false, writeSpoilt(c, frame, fault)
+		}
+	}
+	_, err = c.Write(frame)
+	return true, err
+}
+
+// writeSlowly writes a frame in pieces.
+func writeSlowly(c net.Conn, frame []byte) error {
+	const pieces = 10
+	for i := range pieces {
+		from, till := i*len(frame)/pieces, (i+1)*len(frame)/pieces
+		if _, err := c.Write(frame[from:till]); err != nil {
+			return err
+		}
+		if i < pieces-1 {
+			time.Sleep(slowFrameTime / pieces)
+		}
+	}
+	return nil
+}
+
+// spoiltFrame says how a frame is spoilt.
+type spoiltFrame int
+
+const (
+	frameIntact      spoiltFrame = iota
+	frameCutShort                // half of it, then a reset
+	frameTooLong                 // its length is larger than the frame: what follows looks like its rest
+	frameTooLarge                // its length is larger than any frame's
+	frameUnknownKind             // no such kind exists
+	spoiltFrames
+)
+
+// drawSpoiltFrame spoils half of the frames.
+func (d *discovery) drawSpoiltFrame() spoiltFrame {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.rng.IntN(2) == 0 {
+		return frameIntact
+	}
+	return spoiltFrame(d.rng.IntN(int(spoiltFrames)))
+}
+
+func writeSpoilt(c net.Conn, frame []byte, fault spoiltFrame) error {
+	frame = slices.Clone(frame)
+	switch fault {
+	case frameCutShort:
+		_, _ = c.Write(frame[:len(frame)/2])
+		resetConn(c)
+		return net.ErrClosed
+	case frameTooLong:
+		binary.BigEndian.PutUint32(frame, 1<<18)
+	case frameTooLarge:
+		binary.BigEndian.PutUint32(frame, 1<<31)
+	case frameUnknownKind:
+		frame[4+frameHeaderSize-1] = 9
 	}
+	_, err := c.Write(frame)
+	return err
 }
 
 // nextFrame returns the frame of the event with the number next, and counts it up; nil: there is none yet.
--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -35,9 +35,13 @@
 	StepDrain       StepKind = "drain"
 	StepSilentWatch StepKind = "discovery silent"
 	StepNoDiscovery StepKind = "discovery down"
-	StepReload      StepKind = "reload"
-	StepRestart     StepKind = "restart"
-	StepCrowd       StepKind = "crowd"
+	// frames of the change log come in pieces, or spoilt
+	StepSlowDiscovery StepKind = "discovery slow"
+	StepBadDiscovery  StepKind = "discovery spoilt"
+
+	StepReload  StepKind = "reload"
+	StepRestart StepKind = "restart"
+	StepCrowd   StepKind = "crowd"
 )
 
 // Step is one trouble of a run.
@@ -48,7 +52,7 @@
 	FarEnd   int           // index of the far end that is concerned
 	Lasts    time.Duration // until it is lifted
 	Fault    linkFault     // of a link fault
-	Repeated int           // how often, for reloads
+	Repeated int           // how often, for reloads; how often more, for restarts
 }
 
 func (s Step) String() string {
@@ -136,9 +140,14 @@
 // addDiscoveryFaults adds an outage of discovery with a drain close to its end, and new configurations.
 func (p *Plan) addDiscoveryFaults(d draw) {
 	agent := d.IntN(p.Agents)
-	if kind := d.IntN(4); kind < 2 {
-		outage := Step{At: d.between(warmUp, p.Duration/2), Kind: []StepKind{StepSilentWatch, StepNoDiscovery}[kind], Site: agent,
+	kinds := []StepKind{StepSilentWatch, StepNoDiscovery, StepSlowDiscovery, StepBadDiscovery}
+	if kind := d.IntN(6); kind < len(kinds) {
+		outage := Step{At: d.between(warmUp, p.Duration/2), Kind: kinds[kind], Site: agent,
 			Lasts: d.between(500*time.Millisecond, 4*time.Second)}
+		if outage.Kind == StepSlowDiscovery { // a change has to come through all the same
+			outage.Lasts = d.between(7*time.Second, 10*time.Second)
+			p.add(d, Step{At: outage.At + d.between(0, time.Second), Kind: StepDrain, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: 12 * time.Second})
+		}
 		p.add(d, outage)
 		p.add(d, Step{At: outage.At + outage.Lasts - d.between(0, 400*time.Millisecond), Kind: StepDrain, Site: everySite, FarEnd: d.IntN(p.FarEnds),
 			Lasts: d.between(500*time.Millisecond, 2*time.Second)})
@@ -161,7 +170,7 @@
 		if d.Float64() < 0.3 {
 			p.add(d, Step{At: at, Kind: StepReload, Site: agent, Repeated: 12})
 		}
-		p.add(d, Step{At: at, Kind: StepRestart, Site: agent})
+		p.add(d, Step{At: at, Kind: StepRestart, Site: agent, Repeated: max(d.IntN(5)-2, 0), Lasts: 1500 * time.Millisecond})
 		at += d.between(300*time.Millisecond, 4500*time.Millisecond)
 	}
 }
--- a/internal/faultrig/process.go
+++ b/internal/faultrig/process.go
@@ -83,8 +83,9 @@
 	_ = command.Wait()
 	state := command.ProcessState
 	status := int64(state.ExitCode())
-	if wait, ok := state.Sys().(syscall.WaitStatus); ok && wait.Signaled() && wait.Signal() == syscall.SIGKILL {
-		status = 0 // by the rig
+	if wait, ok := state.Sys().(syscall.WaitStatus); ok && wait.Signaled() &&
+		(wait.Signal() == syscall.SIGKILL || wait.Signal() == syscall.SIGTERM) {
+		status = 0 // by the rig; a process that ends after SIGTERM has not crashed, in whatever way
 	}
 	p.recorder.Add(Event{Kind: ProcessEnded, Agent: p.name, Value: status, Note: state.String()})
 	close(ended)
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -122,7 +122,7 @@
 		}
 	}
 	for j := range a.servers {
-		d, err := newDiscovery(name, a.log)
+		d, err := newDiscovery(name, a.log, seed+uint64(j))
 		if err != nil {
 			return nil, err
 		}
@@ -164,8 +164,22 @@
 	return ln.Addr().String(), nil
 }
 
-// startAgent starts an agent's process with the present list, and lets callers in once it has passed a test.
+// startAgent starts an agent's process, and lets callers in once it has passed a test.
 func (a *site) startAgent() error {
+	if err := a.startProcess(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(frontTestPeriod) {
+		if passesTest(a.process.config.Listen) {
+			a.crowd.setAcceptsNew(true)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s was not ready after %v", a.process.name, readyTimeout)
+}
+
+// startProcess starts an agent's process with the present list.
+func (a *site) startProcess() error {
 	a.listMu.Lock()
 	seq := a.log.present()
 	a.process.config.Known = knownList(seq, a.list)
@@ -177,13 +191,7 @@
 		return err
 	}
 	a.recorder.Add(Event{Kind: ListDelivered, Agent: a.process.name, Value: int64(seq)})
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(frontTestPeriod) {
-		if passesTest(a.process.config.Listen) {
-			a.crowd.setAcceptsNew(true)
-			return nil
-		}
-	}
-	return fmt.Errorf("%s was not ready after %v", a.process.name, readyTimeout)
+	return nil
 }
 
 // passesTest sends a test to an agent, as the front does, and reports whether it passes.
@@ -268,10 +276,14 @@
 		a.breakDiscovery(discoverySilent, s.Lasts)
 	case StepNoDiscovery:
 		a.breakDiscovery(discoveryDown, s.Lasts)
+	case StepSlowDiscovery:
+		a.breakDiscovery(discoverySlow, s.Lasts)
+	case StepBadDiscovery:
+		a.breakDiscovery(discoverySpoilt, s.Lasts)
 	case StepReload:
 		a.reload(s.Repeated)
 	case StepRestart:
-		a.restart()
+		a.restart(s.Repeated, s.Lasts)
 	case StepCrowd:
 		a.playCrowd(plan, s.Lasts)
 	}
@@ -360,10 +372,24 @@
 }
 
 // restart shuts the agent down and starts it again. Callers go on using their connections until the process is killed, at the
-// earliest time that the protocol allows.
-func (a *site) restart() {
+// earliest time that the protocol allows. The new process may be told to shut down again, several times, each at most the given
+// time after its start, whether it is ready or not.
+func (a *site) restart(again int, within time.Duration) {
 	a.restartMu.Lock()
 	defer a.restartMu.Unlock()
+	a.endProcess()
+	for range again {
+		a.note(a.startProcess())
+		time.Sleep(random(a.crowd, func(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(within) + 1)) }))
+		a.endProcess()
+	}
+	if err := a.startAgent(); err != nil {
+		a.recorder.Add(Event{Kind: ProcessEnded, Agent: a.process.name, Value: 1, Note: err.Error()})
+	}
+}
+
+// endProcess sends SIGTERM, and SIGKILL if the process has not ended by the earliest time that the protocol allows.
+func (a *site) endProcess() {
 	a.process.signal(syscall.SIGTERM, signalTerminate)
 	terminated := time.Now()
 	time.Sleep(newConnections)
@@ -372,9 +398,6 @@
 		a.process.signal(syscall.SIGKILL, signalKill)
 		a.process.waitEnded(time.Second)
 	}
-	if err := a.startAgent(); err != nil {
-		a.recorder.Add(Event{Kind: ProcessEnded, Agent: a.process.name, Value: 1, Note: err.Error()})
-	}
 }
 
 // playCrowd plays many more callers with large set-ups for a while.
