Frames of the change log that come slowly get through

What callers saw: with a slow discovery, set-ups went to draining far ends long after the change counted as told, and were refused.

Cause: ChangeLogClient took a connection for dead 2.3 s after the last whole frame. A frame that needs longer was cut off each time, and the next connection began it again: the client never got ahead. Class: progress measured by the wrong unit.

Change: a connection is dead when no byte is received for 2.3 s, or when a frame is not whole 3.5 s after its first byte, as with a spoilt length; that time doubles, up to a minute, with each frame that was cut off, and starts anew with the next whole one.

Result: TestSlowFramesOfTheChangeLog failed (nothing in 20 s), passes in 3.2 s; TestFrameWithSpoiltLength passes before (2.4 s) and after (3.6 s).

--- a/internal/platform/changelog_client.go
+++ b/internal/platform/changelog_client.go
@@ -14,6 +14,8 @@
 
 const (
 	changeLogIdleTimeout   = 2300 * time.Millisecond // the change log sends an empty frame every second
+	frameTimeout           = 3500 * time.Millisecond // from the first byte of a frame to its last; its length may be spoilt
+	maxFrameTimeout        = time.Minute
 	changeLogDialTimeout   = time.Second
 	changeLogRetryInterval = 200 * time.Millisecond
 	maxQueuedEventBytes    = 4 << 20 // bytes of events that were received and not handled yet: four lists of the largest size
@@ -21,28 +23,32 @@
 
 // ChangeLogClient follows the change log and passes its events on to the far-end side.
 type ChangeLogClient struct {
-	core        *agent.Core
-	farEnds     *FarEnds
-	log         *zap.Logger
-	addr        string
-	seq         uint64 // sequence number of the last event applied
-	conn        *changeLogConn
-	dialing     *changeLogConn // the dial in progress; the result of an earlier dial is discarded
-	lastFrameAt time.Duration  // time of the last frame, or of the connect
+	core    *agent.Core
+	farEnds *FarEnds
+	log     *zap.Logger
+	addr    string
+	seq     uint64 // sequence number of the last event applied
+	conn    *changeLogConn
+	dialing *changeLogConn // the dial in progress; the result of an earlier dial is discarded
+
+	// time allowed for a frame; it grows with each frame that did not come whole in time, so that a slow one gets through at last
+	frameTimeout time.Duration
 }
 
 type changeLogConn struct {
 	client      *ChangeLogClient
 	link        *link.Conn
 	closed      bool
-	queuedBytes atomic.Int64 // bytes of events received and not handled yet
+	queuedBytes atomic.Int64  // bytes of events received and not handled yet
+	received    atomic.Bool   // something was received since the last sweep
+	aliveAt     time.Duration // time at which something was last seen to have been received, or of the connect
 }
 
 // NewChangeLogClient applies the initial events and follows the change log from there. With an empty address it does not
 // connect.
 func NewChangeLogClient(core *agent.Core, farEnds *FarEnds, log *zap.Logger,
 	addr string, seq uint64, initial []changelog.Event) *ChangeLogClient {
-	cl := &ChangeLogClient{core: core, farEnds: farEnds, log: log, addr: addr}
+	cl := &ChangeLogClient{core: core, farEnds: farEnds, log: log, addr: addr, frameTimeout: frameTimeout}
 	for i, e := range initial {
 		kind := tinbeam.ListDelta
 		if i == 0 {
@@ -55,9 +61,7 @@
 	cl.seq = max(cl.seq, seq)
 	var sweep func()
 	sweep = func() {
-		if cl.conn != nil && core.Now()-cl.lastFrameAt > changeLogIdleTimeout {
-			cl.conn.link.Close() // an idle connection is dead, even if the kernel still reports it as open
-		}
+		cl.checkConn()
 		cl.dial()
 		core.After(changeLogRetryInterval, sweep)
 	}
@@ -65,6 +69,28 @@
 	return cl
 }
 
+// checkConn closes a connection that is dead, although the kernel may report it as open: nothing is received on it, or a frame does
+// not become complete.
+func (cl *ChangeLogClient) checkConn() {
+	c := cl.conn
+	if c == nil {
+		return
+	}
+	if c.received.Swap(false) {
+		c.aliveAt = cl.core.Now()
+	}
+	switch {
+	case cl.core.Now()-c.aliveAt > changeLogIdleTimeout:
+		cl.log.Info("change log: connection is silent", zap.Uint64("last event", cl.seq))
+		c.link.Close()
+	case c.link.StalledFor() > cl.frameTimeout:
+		cl.log.Info("change log: frame does not become complete", zap.Uint64("last event", cl.seq),
+			zap.Duration("allowed", cl.frameTimeout))
+		cl.frameTimeout = min(2*cl.frameTimeout, maxFrameTimeout)
+		c.link.Close()
+	}
+}
+
 func (cl *ChangeLogClient) apply(e changelog.Event, kind tinbeam.ListKind) {
 	cl.seq = e.Seq
 	cl.log.Debug("change log: event applied", zap.Uint64("event", e.Seq), zap.Int("entries", len(e.Entries)))
@@ -115,7 +141,7 @@
 		// The connection broke before the dial's result was handled. Without this case it would be kept as if it were open.
 		cl.core.Metrics.DialsFailed.Inc()
 	default:
-		c.link, cl.conn, cl.lastFrameAt = l, c, cl.core.Now()
+		c.link, cl.conn, c.aliveAt = l, c, cl.core.Now()
 		cl.core.Metrics.ListReconnects.Inc()
 		cl.log.Info("change log: connected", zap.String("addr", cl.addr), zap.Uint64("last event", cl.seq))
 		l.Send(changelog.ResumeRequest(cl.seq), nil)
@@ -124,6 +150,7 @@
 
 // Data parses frames and posts each event to the core's loop.
 func (c *changeLogConn) Data(l *link.Conn, b []byte) (int, error) {
+	c.received.Store(true)
 	used := 0
 	for {
 		e, n, err := changelog.Parse(b[used:])
@@ -152,7 +179,7 @@
 	if cl.conn != c {
 		return
 	}
-	cl.lastFrameAt = cl.core.Now()
+	cl.frameTimeout = frameTimeout
 	switch {
 	case e.Kind == changelog.KeepAlive:
 	case e.Seq <= cl.seq:
@@ -175,7 +202,7 @@
 		c.closed = true
 		if c.client.conn == c {
 			c.client.log.Info("change log: connection lost", zap.Uint64("last event", c.client.seq),
-				zap.Duration("quiet", c.client.core.Now()-c.client.lastFrameAt))
+				zap.Duration("quiet", c.client.core.Now()-c.aliveAt))
 			c.client.conn = nil
 			c.client.dial()
 		}
