--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -407,3 +407,57 @@
 		t.Errorf("a connection came up after %v", took)
 	}
 }
+
+// Guards against calls left standing at a far end: a release whose connection is lost before the far end has confirmed it is sent
+// again on the next one.
+func TestReleaseLostWithItsConnection(t *testing.T) {
+	f := newFarEndFixture(t)
+	conns := f.open()
+	k := f.offer()
+	f.next(farend.Launch).conn.send(farend.Running, "v=0 first", 0)
+	f.nextAnswer()
+	f.onLoop(func() { f.core.Hangup(k, farend.CauseNormal) })
+	first := f.next(farend.Stop)
+	for _, c := range conns {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	if again := f.next(farend.Stop); again.conn == first.conn || again.m.Cause != farend.CauseNormal {
+		t.Errorf("release with cause %d, on another connection: %t", again.m.Cause, again.conn != first.conn)
+	}
+}
+
+// A release that the far end has confirmed is not sent again, nor is one that another attempt of the call has followed.
+func TestConfirmedReleaseIsNotRepeated(t *testing.T) {
+	f := newFarEndFixture(t)
+	conns := f.open()
+	k := f.offer()
+	f.next(farend.Launch).conn.send(farend.Running, "v=0 first", 0)
+	f.nextAnswer()
+	f.onLoop(func() { f.core.Hangup(k, farend.CauseNormal) })
+	f.next(farend.Stop).conn.send(farend.Stopped, "", 0)
+	time.Sleep(testReleaseDelay)
+	for _, c := range conns {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	f.open()
+	time.Sleep(testReleaseDelay)
+	for len(f.lines) > 0 {
+		if l := <-f.lines; l.m != nil {
+			t.Errorf("received %s", l.m.Kind)
+		}
+	}
+}
+
+// Guards against calls left standing at a far end: an answer to a set-up that is over is released.
+func TestAnswerToSetUpThatIsOver(t *testing.T) {
+	f := newFarEndFixture(t)
+	f.open()
+	k := f.offer()
+	launch := f.next(farend.Launch)
+	f.onLoop(func() { f.core.Abandoned(k) })
+	f.next(farend.Stop)
+	launch.conn.send(farend.Running, "v=0 late", 0)
+	f.next(farend.Stop)
+}
