Releases lost with their connection are sent to the far end again

What callers and far ends saw: a call that its caller had released, or a set-up given up whose answer crossed the release, went on at the far end when the release was lost with its connection, and held its circuits.

Cause: sendStop counted a written line as heard.

Change: a connection remembers the releases of the last 10 s, 64 at most, until the far end confirms them; when it is lost, they go on another connection or the next one. A call with an attempt at the far end is left out, since the release names the call only. An answer to a set-up that is over is answered with its release if that is unconfirmed. Releases hold no call: its description may be 15 kB.

Result: TestReleaseLostWithItsConnection and TestAnswerToSetUpThatIsOver failed before and pass; TestConfirmedReleaseIsNotRepeated passes.

--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -121,9 +121,7 @@
 		zap.Int("set-ups waiting", len(x.waiting)))
 	core.Metrics.LinksUp.Inc()
 	for _, r := range x.queuedReleases {
-		if l.Send(r.line, nil) {
-			r.leg.stopConn = c
-		}
+		c.sendRelease(r)
 	}
 	x.queuedReleases = nil
 	waiting := x.waiting
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -33,7 +33,6 @@
 	sweepInterval       = 250 * time.Millisecond
 	healthCheckDelay    = 2 * time.Second // idle time of a far end with attempts or calls before a health check
 	unresponsiveTimeout = 5 * time.Second // idle time that means failure: its calls must be released within 8 s of its end
-	maxQueuedReleases   = 1024            // releases kept for a far end that cannot be reached
 	maxQueuedLineBytes  = 256 << 10       // bytes of lines of one connection that were received and not handled yet
 	floodRedialDelay    = time.Second     // before a connection to a far end that has flooded one
 )
@@ -65,7 +64,7 @@
 	checkPending   bool                      // a health check was sent, and nothing received since
 	attempts       map[string]*agent.Attempt // pending or established, by Call.ID
 	waiting        []*agent.Attempt          // attempts waiting for a connection
-	queuedReleases []queuedRelease           // releases waiting for a connection
+	queuedReleases []release                 // releases waiting for a connection
 	checkSentAt    map[string]time.Duration  // send times of the check lines without an answer, by UID
 }
 
@@ -81,6 +80,7 @@
 	pending      int          // set-ups on it that have no answer yet
 	queuedBytes  atomic.Int64 // bytes of lines received and not handled yet
 	groupState   []float32    // the last state of the circuit group received here
+	unconfirmed  []release    // sent on it and not confirmed by the far end
 }
 
 // attemptLeg is this front end's state of an attempt, kept in Attempt.Leg.
@@ -394,6 +394,7 @@
 			core.Ended(a, tinbeam.Reset, tinbeam.NoteLinkLost, nil, farend.CauseReset)
 		}
 	}
+	c.repeatReleases()
 	x.dial(connsWanted)
 }
 
@@ -408,10 +409,13 @@
 		e.Write(zap.String("far", x.addr), zap.String("uid", m.UID), zap.Int("cause", m.Cause), zap.Any("meta", m.Meta))
 	}
 	switch m.Kind {
-	case farend.Staging, farend.Stopped:
+	case farend.Staging:
+	case farend.Stopped:
+		x.confirmRelease(m.UID)
 	case farend.Running:
 		if a == nil {
-			core.Metrics.StrayMessages.Inc() // it crossed the stop line for its set-up, which ends it at the far end
+			core.Metrics.StrayMessages.Inc()
+			c.answerLate(m.UID)
 			return
 		}
 		if !a.Established() && !c.carries(a) {
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"tinbeam/internal/agent"
 	"tinbeam/internal/farend"
@@ -9,10 +10,23 @@
 
 // This file ends attempts and calls at far ends.
 
-// queuedRelease is the release of an attempt or call that could not be sent yet.
-type queuedRelease struct {
-	leg  *attemptLeg
-	line []byte
+const (
+	confirmTime       = 10 * time.Second // a release not confirmed within this is not sent again
+	maxUnconfirmed    = 64               // releases remembered for each connection
+	maxQueuedReleases = 1024             // releases kept for a far end that cannot be reached
+)
+
+// release is the stop line of an attempt or call. It does not hold the call, whose description may be long.
+type release struct {
+	leg    *attemptLeg
+	callID string
+	line   []byte
+	sentAt time.Duration
+}
+
+func newRelease(a *agent.Attempt, cause int) release {
+	line := (&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
+	return release{leg: a.Leg.(*attemptLeg), callID: a.Call.ID, line: line}
 }
 
 // Cancel withdraws a set-up that has not been written, or cancels it at the far end.
@@ -40,23 +54,64 @@
 	x.sendStop(a, cause)
 }
 
-// sendStop ends an attempt or a call at the far end: on the connection of its set-up, else on any other, else on the next one
-// opened.
-func (x *farEnd) sendStop(a *agent.Attempt, cause int) {
-	l, line := a.Leg.(*attemptLeg), stopLine(a, cause)
-	for _, c := range []*farConn{l.conn, x.leastLoaded()} {
-		if c != nil && !c.closed && c.link.Send(line, nil) {
-			l.stopConn = c
+// sendStop ends an attempt or a call at the far end.
+func (x *farEnd) sendStop(a *agent.Attempt, cause int) { x.sendRelease(newRelease(a, cause)) }
+
+// sendRelease sends a release on the connection of its set-up, else on any other, else on the next one opened.
+func (x *farEnd) sendRelease(r release) {
+	for _, c := range []*farConn{r.leg.conn, x.leastLoaded()} {
+		if c != nil && !c.closed && c.sendRelease(r) {
 			return
 		}
 	}
 	if len(x.queuedReleases) < maxQueuedReleases {
-		x.queuedReleases = append(x.queuedReleases, queuedRelease{l, line})
+		x.queuedReleases = append(x.queuedReleases, r)
 	}
 }
 
-func stopLine(a *agent.Attempt, cause int) []byte {
-	return (&farend.Message{Kind: farend.Stop, UID: a.Call.ID, Cause: cause}).Append(nil)
+// sendRelease sends a release on the connection, and remembers it until the far end confirms it.
+func (c *farConn) sendRelease(r release) bool {
+	if !c.link.Send(r.line, nil) {
+		return false
+	}
+	r.sentAt = c.farEnd.farEnds.core.Now()
+	r.leg.stopConn = c
+	c.unconfirmed = append(slices.DeleteFunc(c.unconfirmed, func(o release) bool { return r.sentAt-o.sentAt >= confirmTime }), r)
+	if len(c.unconfirmed) > maxUnconfirmed {
+		c.unconfirmed = slices.Delete(c.unconfirmed, 0, 1)
+	}
+	return true
+}
+
+// confirmRelease forgets the releases of a call, which the far end has heard.
+func (x *farEnd) confirmRelease(uid string) {
+	for _, c := range x.conns {
+		c.unconfirmed = slices.DeleteFunc(c.unconfirmed, func(r release) bool { return r.callID == uid })
+	}
+}
+
+// answerLate handles an answer to a set-up that is over. It crossed the release, which may also have been lost: then its call would
+// stand, so a release that the far end has not confirmed is sent once more.
+func (c *farConn) answerLate(uid string) {
+	for _, o := range c.farEnd.conns {
+		if i := slices.IndexFunc(o.unconfirmed, func(r release) bool { return r.callID == uid }); i >= 0 {
+			c.link.Send(o.unconfirmed[i].line, nil)
+			return
+		}
+	}
+}
+
+// repeatReleases sends the releases that a closed connection may have taken with it on another one, or the next one opened. A call
+// with an attempt at the far end is left out: the release would end that one.
+func (c *farConn) repeatReleases() {
+	x := c.farEnd
+	for _, r := range c.unconfirmed {
+		recent := x.farEnds.core.Now()-r.sentAt < confirmTime
+		if recent && r.leg.stopConn == c && x.attempts[r.callID] == nil {
+			x.sendRelease(r)
+		}
+	}
+	c.unconfirmed = nil
 }
 
 // repeatStops sends the stop lines of the call's earlier attempts again if their connection has closed: they may not have arrived.
@@ -64,8 +119,7 @@
 	for p := a.Previous; p != nil; p = p.Previous {
 		l, ok := p.Leg.(*attemptLeg)
 		if ok && p.Switch == a.Switch && l.stopConn != nil && l.stopConn != c && !l.ended {
-			c.link.Send(stopLine(p, farend.CauseNormal), nil)
-			l.stopConn = c
+			c.sendRelease(newRelease(p, farend.CauseNormal))
 		}
 	}
 }
