Rig: replaced far ends at one address, slow readers, changed and cut-short configurations, crowds of 150

A far end may be replaced by another at the same address in one step, what agents write may be read 100 bytes at a time, new configurations change limits and the order of the classes, one in ten is cut short as if it was being written, and a crowd has up to 150 callers.

--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tinbeam/internal/farend"
@@ -23,7 +24,7 @@
 
 // farEnd is a stand-in for a far end: it accepts set-ups, answers them, and releases the calls after a while.
 type farEnd struct {
-	id       string
+	id       atomic.Pointer[string] // as ListChanged events name it; another process at the address has another one
 	recorder *Recorder
 	listener net.Listener
 
@@ -65,8 +66,9 @@
 
 // newFarEnd starts a far end on a free port of the loopback interface.
 func newFarEnd(id string, seed uint64, recorder *Recorder) (*farEnd, error) {
-	f := &farEnd{id: id, recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0xfa)), attempts: map[*farAttempt]bool{},
+	f := &farEnd{recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0xfa)), attempts: map[*farAttempt]bool{},
 		free: circuitsPerSide, unheard: map[string][]byte{}}
+	f.setName(id)
 	return f, f.listen("127.0.0.1:0")
 }
 
@@ -80,6 +82,10 @@
 	return nil
 }
 
+func (f *farEnd) name() string { return *f.id.Load() }
+
+func (f *farEnd) setName(id string) { f.id.Store(&id) }
+
 func (f *farEnd) addr() string { return f.listener.Addr().String() }
 
 func (f *farEnd) accept(ln net.Listener) {
@@ -153,7 +159,7 @@
 		f.attempts[a] = true
 		wait := time.Duration((0.5 + f.rng.Float64()) * float64(setUpTime))
 		f.mu.Unlock()
-		f.recorder.Add(Event{Kind: SetUpArrived, FarEnd: f.id, Call: m.UID, Connection: c.id})
+		f.recorder.Add(Event{Kind: SetUpArrived, FarEnd: f.name(), Call: m.UID, Connection: c.id})
 		time.AfterFunc(wait, func() { f.complete(a) })
 	case farend.Stopped:
 		f.mu.Lock()
@@ -178,9 +184,9 @@
 			continue
 		}
 		if a.established {
-			f.recorder.Add(Event{Kind: AgentReleased, FarEnd: f.id, Call: a.call})
+			f.recorder.Add(Event{Kind: AgentReleased, FarEnd: f.name(), Call: a.call})
 		} else {
-			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.id, Call: a.call, Connection: a.conn.id, Note: "given up"})
+			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: "given up"})
 		}
 		f.remove(a)
 	}
@@ -214,8 +220,8 @@
 		answer.Kind, answer.Cause = farend.Stop, farend.CauseBusy
 	default:
 		f.made++
-		answer.Kind, answer.Body = farend.Running, fmt.Sprintf("v=0 %s %s %d\r\n", f.id, a.call, f.made)
-		f.recorder.Add(Event{Kind: DescribedBy, FarEnd: f.id, Call: a.call, Note: answer.Body})
+		answer.Kind, answer.Body = farend.Running, fmt.Sprintf("v=0 %s %s %d\r\n", f.name(), a.call, f.made)
+		f.recorder.Add(Event{Kind: DescribedBy, FarEnd: f.name(), Call: a.call, Note: answer.Body})
 		a.established, a.description = true, answer.Body
 		f.free--
 	}
@@ -223,7 +229,7 @@
 		f.remove(a)
 	}
 	// The end is recorded before it is written, since the agent may act on it at once.
-	f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.id, Call: a.call, Connection: a.conn.id, Note: answer.Kind})
+	f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: answer.Kind})
 	f.mu.Unlock()
 	_ = a.conn.writeLine(answer)
 	if a.established {
@@ -241,7 +247,7 @@
 		return
 	}
 	f.remove(a)
-	f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.id, Call: a.call, Note: a.description})
+	f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Note: a.description})
 	line := &farend.Message{Kind: farend.Stop, UID: a.call, Cause: farend.CauseNormal}
 	conns := slices.Clone(f.conns)
 	if i := slices.Index(conns, a.conn); i > 0 {
@@ -268,7 +274,7 @@
 			continue
 		}
 		f.remove(a)
-		f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.id, Call: a.call, Connection: c.id, Note: "connection lost"})
+		f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: c.id, Note: "connection lost"})
 		if f.rng.Float64() < shareOfRepeats {
 			line := &farend.Message{Kind: farend.Stop, UID: a.call, Cause: causes[f.rng.IntN(len(causes))]}
 			f.repeats = append(f.repeats, line.Append(nil))
@@ -296,9 +302,9 @@
 	defer f.mu.Unlock()
 	for a := range f.attempts {
 		if a.established {
-			f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.id, Call: a.call, Note: a.description})
+			f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Note: a.description})
 		} else {
-			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.id, Call: a.call, Connection: a.conn.id, Note: "died"})
+			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: "died"})
 		}
 		f.remove(a)
 	}
--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -30,6 +30,7 @@
 	StepResetLinks  StepKind = "reset links"
 	StepHang        StepKind = "hang"
 	StepDie         StepKind = "die"
+	StepReplace     StepKind = "replace"
 	StepErrors      StepKind = "errors"
 	StepFlood       StepKind = "flood"
 	StepDrain       StepKind = "drain"
@@ -52,7 +53,7 @@
 	FarEnd   int           // index of the far end that is concerned
 	Lasts    time.Duration // until it is lifted
 	Fault    linkFault     // of a link fault
-	Repeated int           // how often, for reloads; how often more, for restarts
+	Repeated int           // how often, for reloads; how often more, for restarts; callers of a crowd
 }
 
 func (s Step) String() string {
@@ -90,7 +91,8 @@
 	plan.addDiscoveryFaults(d)
 	plan.addSignals(d)
 	if d.Float64() < 0.3 {
-		plan.add(d, Step{Kind: StepCrowd, Site: d.IntN(plan.Agents), Lasts: d.between(time.Second, 3*time.Second)})
+		plan.add(d, Step{Kind: StepCrowd, Site: d.IntN(plan.Agents), Repeated: []int{30, 50, 150}[d.IntN(3)],
+			Lasts: d.between(time.Second, 3*time.Second)})
 	}
 	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
@@ -118,6 +120,7 @@
 		func() linkFault { return linkFault{Doubled: d.between(ms, 40*ms)} },
 		func() linkFault { return linkFault{Spoilt: 0.1 + 0.4*d.Float64()} },
 		func() linkFault { return linkFault{Delayed: d.between(10*ms, 400*ms)} },
+		func() linkFault { return linkFault{SlowRead: d.between(2*ms, 40*ms)} },
 		func() linkFault {
 			return linkFault{Spoilt: 0.2, Doubled: 20 * ms, OpenLate: 300 * ms}
 		},
@@ -131,7 +134,7 @@
 }
 
 func (p *Plan) addFarEndFaults(d draw) {
-	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood}
+	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood, StepReplace, StepReplace}
 	for range 1 + d.IntN(4) {
 		p.add(d, Step{Kind: kinds[d.IntN(len(kinds))], Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(400*time.Millisecond, 3*time.Second)})
 	}
--- a/internal/faultrig/process.go
+++ b/internal/faultrig/process.go
@@ -52,6 +52,15 @@
 	return os.Rename(temporary, p.configPath())
 }
 
+// writeBadConfig leaves a configuration file that is cut short, as one that is being written.
+func (p *process) writeBadConfig() error {
+	b, err := json.Marshal(p.config)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.configPath(), b[:len(b)/2], 0o600)
+}
+
 // start starts the program.
 func (p *process) start() error {
 	if err := p.writeConfig(); err != nil {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -28,6 +28,7 @@
 	Doubled      time.Duration // each answer is passed on again after at most this
 	Spoilt       float64       // share of the answers that are spoilt
 	Delayed      time.Duration // answers are passed on late, by at most this
+	SlowRead     time.Duration // what the agent writes is read a little at a time, with pauses of at most this
 }
 
 // proxy carries the connections from agents to one far end and injects faults into them.
@@ -47,6 +48,7 @@
 // proxyLink is one connection through a proxy.
 type proxyLink struct {
 	id            uint64
+	name          string // of the far end
 	proxy         *proxy
 	agent, farEnd net.Conn
 	launched      map[string]bool // calls with a set-up on it
@@ -148,7 +150,7 @@
 		p.closeEarly(agent)
 		return
 	}
-	l := &proxyLink{id: p.recorder.NextID(), proxy: p, agent: agent, launched: map[string]bool{}}
+	l := &proxyLink{id: p.recorder.NextID(), name: p.farEnd.name(), proxy: p, agent: agent, launched: map[string]bool{}}
 	lines := make(chan []byte, 1024)
 	go l.carryRequests(lines)
 	time.Sleep(fault.OpenLate)
@@ -207,7 +209,7 @@
 func (l *proxyLink) carryRequests(lines chan<- []byte) {
 	defer close(lines)
 	early := unreadBytes(l.agent) // written before the connection was accepted, nobody saw when
-	in := bufio.NewReaderSize(l.agent, 64<<10)
+	in := bufio.NewReaderSize(slowReader{l}, 64<<10)
 	for {
 		if _, err := in.ReadByte(); err != nil {
 			break
@@ -223,10 +225,24 @@
 		lines <- line
 	}
 	for call := range l.launched {
-		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: call, Connection: l.id, Note: "closed"})
+		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.name, Call: call, Connection: l.id, Note: "closed"})
 	}
 }
 
+// slowReadSize is how many bytes are read at a time from an agent whose far end reads slowly.
+const slowReadSize = 100
+
+// slowReader reads what the agent writes, slowly if the present fault says so.
+type slowReader struct{ link *proxyLink }
+
+func (r slowReader) Read(b []byte) (int, error) {
+	if pause := r.link.proxy.currentFault().SlowRead; pause > 0 {
+		time.Sleep(r.link.random(pause))
+		b = b[:min(len(b), slowReadSize)]
+	}
+	return r.link.agent.Read(b)
+}
+
 // unreadBytes returns how many bytes have arrived on a connection and were not read.
 func unreadBytes(c net.Conn) (n int) {
 	raw, err := c.(*net.TCPConn).SyscallConn()
@@ -244,14 +260,14 @@
 	switch m.Kind {
 	case farend.Launch:
 		l.launched[m.UID] = true
-		e := Event{At: firstByteAt, Kind: SetUpWritten, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id,
+		e := Event{At: firstByteAt, Kind: SetUpWritten, FarEnd: l.name, Call: m.UID, Connection: l.id,
 			Agent: agentOfCall(m.Body)}
 		if early {
 			e.Note = writtenEarlier
 		}
 		l.proxy.recorder.Add(e)
 	case farend.Stop:
-		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: anyConnection,
+		l.proxy.recorder.Add(Event{Kind: AttemptGivenUp, FarEnd: l.name, Call: m.UID, Connection: anyConnection,
 			Note: "stop"})
 	}
 }
@@ -352,7 +368,7 @@
 		closed := l.closed
 		l.proxy.mu.Unlock()
 		if !closed {
-			l.proxy.recorder.Add(Event{At: passedAt, Kind: FarReleased, FarEnd: l.proxy.farEnd.id, Call: m.UID, Connection: l.id})
+			l.proxy.recorder.Add(Event{At: passedAt, Kind: FarReleased, FarEnd: l.name, Call: m.UID, Connection: l.id})
 		}
 	})
 }
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -21,18 +21,20 @@
 )
 
 const (
-	drainTime       = 4 * time.Second // from the end of the traffic until all calls should have been released
-	readyTimeout    = 10 * time.Second
-	newConnections  = 300 * time.Millisecond // after SIGTERM, the front still opens connections for this long
-	drainToGone     = 800 * time.Millisecond // from draining to gone in the list
-	reloadPause     = 2 * time.Millisecond   // between the new configurations of a series
-	crowdCallers    = 50
-	drainGrace      = 250 * time.Millisecond // as in settingsJSON
-	firstSequence   = 40
-	firstFarEnd     = 0xfa000001
-	setUpsOfACrowd  = 25 * time.Millisecond
-	crowdBodySize   = 14 << 10
-	frontTestPeriod = 50 * time.Millisecond
+	drainTime      = 4 * time.Second // from the end of the traffic until all calls should have been released
+	readyTimeout   = 10 * time.Second
+	newConnections = 300 * time.Millisecond // after SIGTERM, the front still opens connections for this long
+	drainToGone    = 800 * time.Millisecond // from draining to gone in the list
+	reloadPause    = 2 * time.Millisecond   // between the new configurations of a series
+	drainGrace     = 250 * time.Millisecond // as in settingsJSON
+	firstSequence  = 40
+	firstFarEnd    = 0xfa000001
+	nextGeneration = 0x10000 // from the ID of a far end to that of its replacement
+	// of the configurations in a series, those that are cut short; the last one never is
+	shareOfBadConfigs = 0.1
+	setUpsOfACrowd    = 25 * time.Millisecond
+	crowdBodySize     = 14 << 10
+	frontTestPeriod   = 50 * time.Millisecond
 )
 
 // Result is the outcome of a run.
@@ -270,6 +272,8 @@
 		a.farEnds[s.FarEnd].flood(s.Lasts)
 	case StepDie:
 		a.replaceProcess(s.FarEnd, s.Lasts/4)
+	case StepReplace:
+		a.replaceFarEnd(s.FarEnd)
 	case StepDrain:
 		a.drain(s.FarEnd, s.Lasts)
 	case StepSilentWatch:
@@ -285,7 +289,7 @@
 	case StepRestart:
 		a.restart(s.Repeated, s.Lasts)
 	case StepCrowd:
-		a.playCrowd(plan, s.Lasts)
+		a.playCrowd(plan, s.Repeated, s.Lasts)
 	}
 }
 
@@ -327,6 +331,27 @@
 	}
 }
 
+// replaceFarEnd kills a far end's process, and lists another one at the same address at once.
+func (a *site) replaceFarEnd(i int) {
+	a.listMu.Lock()
+	defer a.listMu.Unlock()
+	l := &a.list[i]
+	if l.State != stateReady {
+		return
+	}
+	a.proxies[i].stop()
+	a.farEnds[i].die()
+	gone := *l
+	gone.State = stateGone
+	l.ID += nextGeneration
+	l.StartedAtMs = time.Now().UnixMilli()
+	a.farEnds[i].setName(l.name())
+	if a.listenAgain(i) {
+		a.log.add(gone)
+		a.log.add(*l)
+	}
+}
+
 // replaceProcess kills a far end's process, and starts another after a while.
 func (a *site) replaceProcess(i int, after time.Duration) {
 	a.proxies[i].stop()
@@ -359,18 +384,35 @@
 func (a *site) reload(times int) {
 	a.restartMu.Lock()
 	defer a.restartMu.Unlock()
-	for range times {
+	for i := range times {
+		a.process.config.Settings = a.drawSettings()
 		if a.serverMu.TryLock() {
 			a.server = 1 - a.server
 			a.process.config.Changelog = a.servers[a.server].addr()
 			a.serverMu.Unlock()
 		}
-		a.note(a.process.writeConfig())
+		if i < times-1 && a.crowd.chance(shareOfBadConfigs) {
+			a.note(a.process.writeBadConfig())
+		} else {
+			a.note(a.process.writeConfig())
+		}
 		a.process.signal(syscall.SIGHUP, signalReload)
 		time.Sleep(reloadPause)
 	}
 }
 
+// drawSettings returns settings of a new configuration: the first ones, or with other limits, or with the classes in another order.
+func (a *site) drawSettings() []byte {
+	variants := []*strings.Replacer{
+		strings.NewReplacer(),
+		strings.NewReplacer(`"mostTries": 4`, `"mostTries": 2`),
+		strings.NewReplacer(`"order-status"`, `"cancel-all"`, `"cancel-all"`, `"order-status"`),
+		strings.NewReplacer(`"hardLimit": 2.0`, `"hardLimit": 1.5`, `"aim": 0.8`, `"aim": 0.6`),
+	}
+	i := random(a.crowd, func(r *rand.Rand) int { return r.IntN(len(variants)) })
+	return []byte(variants[i].Replace(settingsJSON))
+}
+
 // restart shuts the agent down and starts it again. Callers go on using their connections until the process is killed, at the
 // earliest time that the protocol allows. The new process may be told to shut down again, several times, each at most the given
 // time after its start, whether it is ready or not.
@@ -401,9 +443,9 @@
 }
 
 // playCrowd plays many more callers with large set-ups for a while.
-func (a *site) playCrowd(plan Plan, lasts time.Duration) {
+func (a *site) playCrowd(plan Plan, callers int, lasts time.Duration) {
 	t := plan.Traffic
-	t.Callers, t.Interval, t.BodySize = min(crowdCallers, plan.Sockets/6), setUpsOfACrowd, crowdBodySize
+	t.Callers, t.Interval, t.BodySize = min(callers, plan.Sockets/6), setUpsOfACrowd, crowdBodySize
 	more := newCrowd(a.process.name, a.process.config.Listen, t, plan.Seed^0xc0ffee, a.recorder)
 	more.setAcceptsNew(true)
 	time.AfterFunc(lasts, more.stop)
