--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -65,8 +66,8 @@
 	listMu    sync.Mutex
 	list      []listing
 	servers   [2]*discovery
-	serverMu  sync.Mutex
-	server    int // index of the server that the configuration names
+	outage    sync.Mutex   // held while discovery is broken
+	server    atomic.Int32 // index of the server that the configuration names
 	restartMu sync.Mutex
 }
 
@@ -186,9 +187,7 @@
 	seq := a.log.present()
 	a.process.config.Known = knownList(seq, a.list)
 	a.listMu.Unlock()
-	a.serverMu.Lock()
-	a.process.config.Changelog = a.servers[a.server].addr()
-	a.serverMu.Unlock()
+	a.process.config.Changelog = a.servers[a.server.Load()].addr()
 	if err := a.process.start(); err != nil {
 		return err
 	}
@@ -369,9 +368,9 @@
 }
 
 func (a *site) breakDiscovery(mode discoveryMode, lasts time.Duration) {
-	a.serverMu.Lock()
-	defer a.serverMu.Unlock() // no new configuration meanwhile
-	server := a.servers[a.server]
+	a.outage.Lock()
+	defer a.outage.Unlock() // no new configuration moves discovery meanwhile
+	server := a.servers[a.server.Load()]
 	if err := server.setMode(mode); err != nil {
 		a.note(err)
 		return
@@ -386,10 +385,10 @@
 	defer a.restartMu.Unlock()
 	for i := range times {
 		a.process.config.Settings = a.drawSettings()
-		if a.serverMu.TryLock() {
-			a.server = 1 - a.server
-			a.process.config.Changelog = a.servers[a.server].addr()
-			a.serverMu.Unlock()
+		if a.outage.TryLock() {
+			a.server.Store(1 - a.server.Load())
+			a.process.config.Changelog = a.servers[a.server.Load()].addr()
+			a.outage.Unlock()
 		}
 		if i < times-1 && a.crowd.chance(shareOfBadConfigs) {
 			a.note(a.process.writeBadConfig())
