--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -33,6 +33,7 @@
 type request struct {
 	id       string
 	agent    string
+	class    string
 	deadline time.Duration
 	conn     *callerConn
 	takenAt  time.Duration
@@ -248,7 +249,7 @@
 func (c *crowd) newRequest(retry bool) (r *request, left time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r = &request{id: fmt.Sprintf("%016x", c.rng.Uint64()), agent: c.agent, retry: retry}
+	r = &request{id: fmt.Sprintf("%016x", c.rng.Uint64()), agent: c.agent, class: classNames[c.rng.IntN(len(classNames))], retry: retry}
 	left = time.Duration(300+c.rng.IntN(2000)) * time.Millisecond
 	path := fmt.Sprintf("dest:%d;width:1;via:-1", 1+c.rng.IntN(c.plan.Destinations))
 	if c.rng.Float64() < c.plan.ShareTransit {
@@ -258,7 +259,7 @@
 	number := fmt.Sprintf("%016x", c.rng.Uint64())
 	m := &sip.Message{Method: "INVITE", URI: "sip:" + number + "@net", Body: body, Headers: []sip.Header{
 		{Name: "Via", Value: "SIP/2.0/TCP peer"}, {Name: "Call-ID", Value: r.id}, {Name: "CSeq", Value: "1 INVITE"},
-		{Name: "P-Kind", Value: classNames[c.rng.IntN(len(classNames))]}, {Name: "P-Time-Left", Value: fmt.Sprint(left.Milliseconds())},
+		{Name: "P-Kind", Value: r.class}, {Name: "P-Time-Left", Value: fmt.Sprint(left.Milliseconds())},
 		{Name: "P-Path", Value: path}}}
 	if retry {
 		m.Headers = append(m.Headers, sip.Header{Name: "P-Second-Try", Value: "1"})
@@ -311,7 +312,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.recorder.Add(Event{At: r.takenAt, Kind: RequestTaken, Agent: c.agent, Call: r.id, Deadline: r.deadline})
+	c.recorder.Add(Event{At: r.takenAt, Kind: RequestTaken, Agent: c.agent, Call: r.id, Deadline: r.deadline, Note: r.class})
 }
 
 // writePieces writes a message slowly in pieces, but for its last one, which it returns.
--- a/internal/faultrig/checker.go
+++ b/internal/faultrig/checker.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"tinbeam/internal/farend"
 )
 
 // Rule names a rule of the protocol page that a run may break.
@@ -13,10 +15,12 @@
 // The rules that Check knows.
 const (
 	OneAttempt     Rule = "one attempt of a call out at a time"
+	SingleShot     Rule = "a call that may have run is neither sent again nor refused as harmless"
 	OneFinal       Rule = "one final answer in time"
 	KnownAnswer    Rule = "an answer holds a description that a far end made for the call"
 	DrainedFarEnd  Rule = "nothing is sent to a drained or removed far end"
 	ReleaseInTime  Rule = "a release reaches the other side in time"
+	HangupInTime   Rule = "a caller's release reaches the far end"
 	MemoryLimit    Rule = "memory stays under the limit"
 	DescriptorsMax Rule = "descriptors stay under the limit"
 	ProcessAlive   Rule = "no process ends by itself"
@@ -58,6 +62,7 @@
 	byCall     map[string][]Event
 	violations []Violation
 	end        time.Duration // end of the run; what was due later is not judged
+	leave      time.Duration // when the callers left, or the end; releases that were due later found nobody
 }
 
 // Check returns the rules that the records of a run break. It knows the protocol's rules and nothing of the agent.
@@ -71,6 +76,10 @@
 			c.byCall[e.Call] = append(c.byCall[e.Call], e)
 		}
 	}
+	c.leave = c.end
+	if i := slices.IndexFunc(events, func(e Event) bool { return e.Kind == CallersLeave }); i >= 0 {
+		c.leave = events[i].At
+	}
 	calls := make([]string, 0, len(c.byCall))
 	for id := range c.byCall {
 		calls = append(calls, id)
@@ -78,8 +87,10 @@
 	slices.Sort(calls)
 	for _, id := range calls {
 		c.checkAttempts(id)
+		c.checkSingleShot(id)
 		c.checkAnswers(id)
 		c.checkRelease(id)
+		c.checkHangup(id)
 	}
 	c.checkDrains()
 	c.checkProcesses()
@@ -143,6 +154,34 @@
 	}
 }
 
+// checkSingleShot checks calls of a class that may run once: after an attempt that arrived at a far end, and was not refused there
+// before it ran, no other may be sent, and the caller must not be told that trying again is harmless.
+func (c *checker) checkSingleShot(call string) {
+	events := c.byCall[call]
+	if !slices.ContainsFunc(events, func(e Event) bool { return e.Kind == RequestTaken && e.Note == singleShotClass }) {
+		return
+	}
+	mayHaveRun := false
+	for i, e := range events {
+		switch {
+		case e.Kind == SetUpArrived && mayHaveRun:
+			c.report(SingleShot, call, events, "sent again to %s at %v", e.FarEnd, e.At)
+		case e.Kind == SetUpArrived:
+			mayHaveRun = !refusedBeforeItRan(events[i:], e)
+		case e.Kind == FinalAnswer && e.Value == statusUnavailable && mayHaveRun:
+			c.report(SingleShot, call, events, "refused as harmless at %v", e.At)
+		}
+	}
+}
+
+// refusedBeforeItRan reports whether the far end ended the attempt that arrived as one that never ran.
+func refusedBeforeItRan(events []Event, arrived Event) bool {
+	return slices.ContainsFunc(events, func(e Event) bool {
+		return e.Kind == AttemptEnded && e.Connection == arrived.Connection && e.FarEnd == arrived.FarEnd &&
+			(e.Value == farend.CauseFull || e.Value == farend.CauseTimerExpiry)
+	})
+}
+
 // checkAnswers checks that a request that was taken gets exactly one final answer in time, unless its caller gave it up.
 func (c *checker) checkAnswers(call string) {
 	var taken, moved, gaveUp, connectionEnded *Event
@@ -222,11 +261,29 @@
 		return (e.Kind == ReleaseHeard || e.Kind == CallerHangup) && e.At <= due
 	})
 	// A process that is told to end may take the knowledge of its calls with it.
-	if heard < 0 && due <= c.end && !c.stoppedBetween(established.Agent, established.At, due) {
+	if heard < 0 && due <= c.leave && !c.stoppedBetween(established.Agent, established.At, due) {
 		c.report(ReleaseInTime, call, events, "the call ended at %v and was not released towards its caller by %v", ended.At, due)
 	}
 }
 
+// checkHangup checks that the release of an established call by its caller, once confirmed, reaches the far end. The page has no
+// limit for that; this one is the limit for releases that could not be sent.
+func (c *checker) checkHangup(call string) {
+	events := c.byCall[call]
+	i := slices.IndexFunc(events, func(e Event) bool { return e.Kind == FinalAnswer && e.Value == statusOK })
+	j := slices.IndexFunc(events, func(e Event) bool { return e.Kind == HangupHeard })
+	if i < 0 || j < 0 {
+		return
+	}
+	due := events[j].At + lostCallReleaseTime + slack
+	over := slices.ContainsFunc(events, func(e Event) bool {
+		return (e.Kind == AgentReleased || e.Kind == CallEnded) && e.At <= due
+	})
+	if !over && due <= c.end && !c.stoppedBetween(events[i].Agent, events[i].At, due) {
+		c.report(HangupInTime, call, events, "released by its caller at %v, and standing at the far end at %v", events[j].At, due)
+	}
+}
+
 // stoppedBetween reports whether an agent's process was signalled to end or ended within a period.
 func (c *checker) stoppedBetween(agent string, from, till time.Duration) bool {
 	return slices.ContainsFunc(c.events, func(e Event) bool {
--- a/internal/faultrig/checker_test.go
+++ b/internal/faultrig/checker_test.go
@@ -41,6 +41,13 @@
 	gaveUp := func(t time.Duration, connection uint64) Event {
 		return at(t, Event{Kind: AttemptGivenUp, Call: "c", FarEnd: "f", Connection: connection})
 	}
+	single := at(0, Event{Kind: RequestTaken, Call: "c", Agent: "n", Deadline: time.Second, Note: singleShotClass})
+	ended := func(t time.Duration, cause int64) Event {
+		return at(t, Event{Kind: AttemptEnded, Call: "c", FarEnd: "f", Connection: 1, Value: cause})
+	}
+	refused := at(50*ms, Event{Kind: FinalAnswer, Call: "c", Agent: "n", Value: statusUnavailable})
+	hungUp := at(time.Second, Event{Kind: HangupHeard, Call: "c", Agent: "n"})
+	agentReleased := func(t time.Duration) Event { return at(t, Event{Kind: AgentReleased, Call: "c", FarEnd: "f"}) }
 	for _, c := range []struct {
 		name   string
 		rule   Rule
@@ -54,6 +61,11 @@
 			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(2*ms, 1)}, setUp(3*ms, "g", 2))},
 		{"release of another connection", OneAttempt, true,
 			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(9*ms, 3)}, setUp(10*ms, "g", 2))},
+		{"sent again after a reset", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 0)}, setUp(10*ms, "g", 2))},
+		{"sent again after an error", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 17)}, setUp(10*ms, "g", 2))},
+		{"sent again after a full one", SingleShot, false, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 34)}, setUp(10*ms, "g", 2))},
+		{"refused after a reset", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 0), refused})},
+		{"refused after a full one", SingleShot, false, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 34), refused})},
 		{"no answer", OneFinal, true, []Event{taken, end}},
 		{"answer in time", OneFinal, false, []Event{taken, described, answer(900 * ms), end}},
 		{"answer late but not lost", OneFinal, false, []Event{taken, described, answer(1549 * ms), end}},
@@ -67,6 +79,8 @@
 		{"release too late", ReleaseInTime, true, []Event{taken, described, answer(20 * ms), callEnded, released, heard(3052 * ms), end}},
 		{"release that could not be sent", ReleaseInTime, false, []Event{taken, described, answer(20 * ms), callEnded, heard(10049 * ms), end}},
 		{"call left standing", ReleaseInTime, true, []Event{taken, described, answer(20 * ms), callEnded, end}},
+		{"hang-up lost", HangupInTime, true, []Event{taken, described, answer(20 * ms), hungUp, agentReleased(9051 * ms), end}},
+		{"hang-up in time", HangupInTime, false, []Event{taken, described, answer(20 * ms), hungUp, agentReleased(9050 * ms), end}},
 		{"set-up after the grace", DrainedFarEnd, true, []Event{drained, told(1010 * ms), written(1311 * ms)}},
 		{"set-up within the grace", DrainedFarEnd, false, []Event{drained, told(1010 * ms), written(1309 * ms)}},
 		{"set-up of an unknown earlier time", DrainedFarEnd, false, []Event{drained, told(1010 * ms),
--- a/internal/faultrig/config.go
+++ b/internal/faultrig/config.go
@@ -3,7 +3,10 @@
 import "encoding/json"
 
 // classNames are the names of the classes of call, as in settingsJSON.
-var classNames = []string{"order-status", "basket-replace", "cancel-all"}
+var classNames = []string{"order-status", singleShotClass, "cancel-all"}
+
+// singleShotClass is the class whose calls may not be sent again once an attempt may have run.
+const singleShotClass = "basket-replace"
 
 // agentConfig is the platform's configuration of an agent.
 type agentConfig struct {
@@ -65,7 +68,7 @@
  "index": 0, "replicasOfMe": 2, "zone": 0, "azs": ["east", "west"], "discovery": "pushed",
  "classes": [
   {"name": "order-status", "aim": 1.0, "hardLimit": 3.0, "gain": 1.0, "lateValue": 0.25, "idempotency": "free", "group": "all", "streamed": true, "window": 5.0},
-  {"name": "basket-replace", "aim": 1.0, "hardLimit": 3.0, "gain": 2.0, "lateValue": 0.25, "idempotency": "guarded", "group": "all", "streamed": true, "window": 5.0},
+  {"name": "basket-replace", "aim": 1.0, "hardLimit": 3.0, "gain": 2.0, "lateValue": 0.25, "idempotency": "single_shot", "group": "all", "streamed": true, "window": 5.0},
   {"name": "cancel-all", "aim": 0.8, "hardLimit": 2.0, "gain": 8.0, "lateValue": 0.25, "idempotency": "free", "group": "all", "streamed": true, "window": 5.0}],
  "blend": {"whole": 0.4, "worstClass": 0.2, "worstTenant": 0.0, "worstWindow": 0.4},
  "charges": {"lateFail": 0.1, "probe": 0.004, "waste": 0.02},
--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -16,10 +16,12 @@
 
 // The behaviour of a stand-in far end.
 const (
-	setUpTime       = 25 * time.Millisecond // mean time from a set-up to its answer
-	shareOfErrors   = 0.03                  // of the set-ups, those that end with an error
-	shareOfRepeats  = 0.7                   // of the set-ups cut with their connection, those released on the next one
-	circuitsPerSide = 40
+	setUpTime        = 25 * time.Millisecond // mean time from a set-up to its answer
+	shareOfErrors    = 0.03                  // of the set-ups, those that end with an error
+	shareOfRepeats   = 0.7                   // of the set-ups cut with their connection, those released on the next one
+	shareOfLongCalls = 0.05
+	longCall         = 14 * time.Second
+	circuitsPerSide  = 40
 )
 
 // farEnd is a stand-in for a far end: it accepts set-ups, answers them, and releases the calls after a while.
@@ -213,6 +215,9 @@
 	}
 	answer := &farend.Message{UID: a.call}
 	hold := time.Duration((0.1 + 1.5*f.rng.Float64()) * float64(time.Second))
+	if f.rng.Float64() < shareOfLongCalls {
+		hold = longCall
+	}
 	switch {
 	case f.free <= 0:
 		answer.Kind, answer.Cause, answer.Meta = farend.Stop, farend.CauseFull, map[string]string{"note": "blocked"}
@@ -229,7 +234,8 @@
 		f.remove(a)
 	}
 	// The end is recorded before it is written, since the agent may act on it at once.
-	f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: answer.Kind})
+	f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: answer.Kind,
+		Value: int64(answer.Cause)})
 	f.mu.Unlock()
 	_ = a.conn.writeLine(answer)
 	if a.established {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -209,18 +209,19 @@
 func (l *proxyLink) carryRequests(lines chan<- []byte) {
 	defer close(lines)
 	early := unreadBytes(l.agent) // written before the connection was accepted, nobody saw when
-	in := bufio.NewReaderSize(slowReader{l}, 64<<10)
+	reader := &slowReader{link: l}
+	in := bufio.NewReaderSize(reader, 64<<10)
 	for {
 		if _, err := in.ReadByte(); err != nil {
 			break
 		}
-		firstByteAt := l.proxy.recorder.Now()
+		firstByteAt, unseen := l.proxy.recorder.Now(), reader.behind || early > 0
 		_ = in.UnreadByte()
 		line, err := in.ReadBytes('\n')
 		if err != nil {
 			break
 		}
-		l.recordRequest(line, firstByteAt, early > 0)
+		l.recordRequest(line, firstByteAt, unseen)
 		early -= len(line)
 		lines <- line
 	}
@@ -233,12 +234,18 @@
 const slowReadSize = 100
 
 // slowReader reads what the agent writes, slowly if the present fault says so.
-type slowReader struct{ link *proxyLink }
+type slowReader struct {
+	link   *proxyLink
+	behind bool // what is being read was written at an unknown earlier time
+}
 
-func (r slowReader) Read(b []byte) (int, error) {
+func (r *slowReader) Read(b []byte) (int, error) {
 	if pause := r.link.proxy.currentFault().SlowRead; pause > 0 {
+		r.behind = true
 		time.Sleep(r.link.random(pause))
 		b = b[:min(len(b), slowReadSize)]
+	} else if unreadBytes(r.link.agent) == 0 {
+		r.behind = false // it has caught up
 	}
 	return r.link.agent.Read(b)
 }
--- a/internal/faultrig/record.go
+++ b/internal/faultrig/record.go
@@ -16,7 +16,7 @@
 	// Far ends and the proxies before them.
 	SetUpWritten   EventKind = "setup_written"   // the first byte of a set-up left the agent
 	SetUpArrived   EventKind = "setup_arrived"   // a set-up arrived whole at a far end
-	AttemptEnded   EventKind = "attempt_ended"   // the far end wrote the end of an attempt, or lost it
+	AttemptEnded   EventKind = "attempt_ended"   // the far end wrote the end of an attempt, or lost it; Value is the cause it wrote
 	AttemptGivenUp EventKind = "attempt_givenup" // the agent gave an attempt up
 	DescribedBy    EventKind = "described"       // a far end made a description for a call; Note is the description
 	CallEnded      EventKind = "call_ended"      // an established call ended at its far end; Note is its description
@@ -24,13 +24,14 @@
 	AgentReleased  EventKind = "agent_released"  // an agent's release of an established call arrived at a far end
 
 	// Callers.
-	RequestTaken    EventKind = "request_taken"    // the last byte of a set-up was written to an open connection
+	RequestTaken    EventKind = "request_taken"    // the last byte of a set-up was written to an open connection; Note is its class
 	RequestMoved    EventKind = "request_moved"    // a set-up crossed the close of its connection and is sent again
 	RequestGivenUp  EventKind = "request_givenup"  // the caller cancelled, or closed the connection
 	FinalAnswer     EventKind = "final_answer"     // Value is the status, Note the description
 	ConnectionEnded EventKind = "connection_ended" // a connection with the request unanswered ended; Note says how
 	ReleaseHeard    EventKind = "release_heard"    // a BYE arrived at a caller
 	CallerHangup    EventKind = "caller_hangup"    // a caller sent a BYE
+	CallersLeave    EventKind = "callers_leave"    // at the end of the run, the callers close their connections
 	HangupHeard     EventKind = "hangup_heard"     // the agent confirmed a caller's BYE
 
 	// The change log.
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -251,6 +251,7 @@
 	for _, a := range t.sites {
 		a.crowd.stop()
 	}
+	t.recorder.Add(Event{At: t.recorder.Now() + drainTime, Kind: CallersLeave})
 	callers.Wait()
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -10,6 +12,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // discardHandler consumes all input, and closes its channel when the connection ends.
@@ -387,3 +392,68 @@
 		}
 	}
 }
+
+// Guards against set-ups that leave long after they were given up: of the messages that wait for a peer which does not read, one
+// of which no byte has left can still be withdrawn, and is then never written.
+func TestWithdrawWhilePeerDoesNotRead(t *testing.T) {
+	const messages, size = 2000, 4 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := Dial(ln.Addr().String(), 10*time.Second, discardHandler{make(chan struct{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.maxQueued = messages * size
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	handles := make([]SendHandle, messages)
+	for i := range handles {
+		c.Send(bytes.Repeat([]byte{byte(i), byte(i >> 8)}, size/2), &handles[i])
+	}
+	time.Sleep(100 * time.Millisecond) // what the kernel takes has been written
+	inKernel := unsentBytes(c) + receivedBytes(t, peer)
+	withdrawn := 0
+	for i := range handles {
+		if handles[i].Withdraw() {
+			withdrawn++
+		}
+	}
+	if most := inKernel/size + 1; messages-withdrawn > most {
+		t.Errorf("%d messages could not be withdrawn, %d of them can have left", messages-withdrawn, most)
+	}
+	c.CloseAfterFlush()
+	peer.SetReadDeadline(time.Now().Add(20 * time.Second))
+	received, err := io.ReadAll(peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(received) != (messages-withdrawn)*size {
+		t.Errorf("%d bytes received, %d of %d messages of %d bytes withdrawn", len(received), withdrawn, messages, size)
+	}
+}
+
+// unsentBytes returns how many bytes of a connection the kernel has not delivered.
+func unsentBytes(c *Conn) (n int) {
+	c.withSocket(func(conn netpoll.Conn) { n, _ = unix.IoctlGetInt(conn.Fd(), unix.SIOCOUTQ) })
+	return n
+}
+
+// receivedBytes returns how many bytes have arrived on a connection and were not read.
+func receivedBytes(t *testing.T, c net.Conn) (n int) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
