Messages are withdrawable until the kernel has taken a byte of them; own writes to the socket

What far ends saw: with a far end that reads slowly or hangs, up to 32 kB of set-ups stayed in netpoll's output buffer, marked as written. They could not be withdrawn when they were given up or their far end was drained, and left whenever it read again.

Cause: link marked a whole batch before netpoll's Flush, which then waited for the peer. Class: a state set at the hand-over to a buffer, and read as the hand-over to the kernel.

Change: the writing goroutine writes to the socket itself, without blocking, and learns how much the kernel took. The kernel's send buffer of dialed connections is 64 kB, since what is in it cannot be taken back. link.go is split: writer, listener, idle.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -16,44 +15,19 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
-	"golang.org/x/sys/unix"
 
 	invariant "tinbeam/internal/debug"
 )
 
 const (
 	maxQueued        = 256 << 10  // bytes that may be queued for a peer that does not read
-	maxWrite         = 32 << 10   // bytes handed to the kernel at once; messages queued behind them can still be withdrawn
 	maxInput         = 1<<20 + 64 // bytes buffered of an incomplete message; the parsers' own limits are lower
 	maxUnhandled     = 1 << 20    // bytes received that the handler has not consumed, the incomplete message not counted
 	maxChunk         = 32 << 10   // bytes of input passed to the handler at once
 	maxReceiveBuffer = 64 << 10   // kernel receive buffer of a connection, in bytes
-	// receive low-water mark of a socket whose reading is paused, in bytes; the kernel allows up to half of the buffer
-	pausedLowWaterMark = maxReceiveBuffer / 2
-	pauseLimit         = 50 * time.Millisecond // reading is resumed after this
-	readTime           = 2 * time.Millisecond  // netpoll has ended a read that was under way after this
-	writeTimeout       = 3 * time.Second       // a peer that reads nothing for this long is considered gone
+	maxSendBuffer    = 64 << 10   // kernel send buffer of a dialed connection: what is in it cannot be withdrawn
 )
 
-// SendHandle allows a sent message to be withdrawn until it has been handed to the kernel. Counter, if set, is incremented
-// when that happens.
-type SendHandle struct {
-	Counter interface{ Inc() }
-	state   atomic.Int32
-}
-
-const (
-	waiting int32 = iota
-	written
-	withdrawn
-)
-
-// Withdraw prevents the message from being written, and reports whether it was still in time.
-func (h *SendHandle) Withdraw() bool { return h.state.CompareAndSwap(waiting, withdrawn) }
-
-// Written reports whether the message has been handed to the kernel.
-func (h *SendHandle) Written() bool { return h.state.Load() == written }
-
 // Handler receives the events of a connection. Data consumes complete messages from the start of b and returns the number
 // of bytes consumed; if it returns an error, the connection is closed after the queued messages have been written. Closed
 // is called once, after the last Data.
@@ -83,13 +57,12 @@
 	closed     bool
 	closedOnce sync.Once
 
-	outputMu   sync.Mutex // guards netpoll's output buffer and descriptor against being released while they are used
-	outputGone bool       // netpoll releases them
-}
+	socketMu   sync.Mutex // guards the descriptor and netpoll's buffers against being released while they are used
+	socketGone bool       // netpoll releases them
 
-type message struct {
-	bytes  []byte
-	handle *SendHandle
+	// used by the writing goroutine only
+	blockedSince time.Duration // time, from clock, since which the kernel has taken nothing; 0: it takes what is written
+	writeRetry   time.Duration // until the next try
 }
 
 func newConn(np netpoll.Connection, maxQueued int, accept func(*Conn) Handler) *Conn {
@@ -100,13 +73,12 @@
 	c.mu.Lock()
 	c.handler = accept(c)
 	c.mu.Unlock()
-	_ = np.SetWriteTimeout(writeTimeout)
-	// netpoll calls this before it frees the buffers.
+	// netpoll calls this before it closes the descriptor and frees the buffers.
 	_ = np.AddCloseCallback(func(netpoll.Connection) error {
 		c.markClosed()
-		c.outputMu.Lock()
-		c.outputGone = true
-		c.outputMu.Unlock()
+		c.socketMu.Lock()
+		c.socketGone = true
+		c.socketMu.Unlock()
 		return nil
 	})
 	return c
@@ -129,7 +101,10 @@
 		return nil, err
 	}
 	c := newConn(np, maxQueued, func(*Conn) Handler { return handler })
-	c.withSocket(func(conn netpoll.Conn) { setReceiveBuffer(conn.Fd()) })
+	c.withSocket(func(conn netpoll.Conn) {
+		setReceiveBuffer(conn.Fd())
+		_ = syscall.SetsockoptInt(conn.Fd(), syscall.SOL_SOCKET, syscall.SO_SNDBUF, maxSendBuffer)
+	})
 	if err := np.SetOnRequest(c.onRequest); err != nil {
 		c.Close()
 		return nil, err
@@ -143,162 +118,6 @@
 // Refused reports whether a dial failed because nothing listens at the address, although the machine is reachable.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// Listener accepts connections.
-type Listener struct {
-	openConns atomic.Int64
-	maxConns  atomic.Int64
-	ln        *stoppableListener
-	eventLoop netpoll.EventLoop
-	serveOnce sync.Once
-	inherited bool
-}
-
-// Listen opens addr; accept returns the handler of each new connection. If more than maxConns connections are open, new ones
-// are closed at once, because the remaining file descriptors are needed for the far ends. For each connection at most
-// maxQueued bytes are queued for a peer that does not read. No connection is accepted before Serve.
-func Listen(addr string, maxConns, maxQueued int, accept func(*Conn) Handler) (*Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return limitReceiveBuffer(raw) }}
-	ln, err := config.Listen(context.Background(), "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return newListener(ln, false, maxConns, maxQueued, accept)
-}
-
-// Inherit is like Listen for a socket that already listens and was passed to this process as a file descriptor. Other
-// processes hold the same socket, so it is never shut down here: connections that this process does not accept are left to
-// them.
-func Inherit(fd, maxConns, maxQueued int, accept func(*Conn) Handler) (*Listener, error) {
-	f := os.NewFile(uintptr(fd), "passed socket")
-	if f == nil {
-		return nil, fmt.Errorf("file descriptor %d: %w", fd, os.ErrInvalid)
-	}
-	ln, err := net.FileListener(f)
-	f.Close()
-	if err != nil {
-		return nil, fmt.Errorf("file descriptor %d: %w", fd, err)
-	}
-	tcp, ok := ln.(*net.TCPListener)
-	if !ok {
-		ln.Close()
-		return nil, fmt.Errorf("file descriptor %d is not a TCP listener", fd)
-	}
-	if raw, err := tcp.SyscallConn(); err == nil {
-		_ = limitReceiveBuffer(raw)
-	}
-	return newListener(ln, true, maxConns, maxQueued, accept)
-}
-
-// limitReceiveBuffer limits the kernel's receive buffer of a listening socket, and so of all connections accepted from it: netpoll
-// reads everything that the kernel has, in ever larger blocks, even if earlier data has not been handled yet.
-func limitReceiveBuffer(raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) { setReceiveBuffer(int(fd)) })
-}
-
-func setReceiveBuffer(fd int) {
-	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, maxReceiveBuffer)
-}
-
-func newListener(ln net.Listener, inherited bool, maxConns, maxQueued int, accept func(*Conn) Handler) (*Listener, error) {
-	type key struct{}
-	np, err := netpoll.ConvertListener(ln)
-	if err != nil {
-		ln.Close()
-		return nil, err
-	}
-	l := &Listener{ln: &stoppableListener{Listener: np, socket: ln, inherited: inherited}, inherited: inherited}
-	l.maxConns.Store(int64(maxConns))
-	loop, err := netpoll.NewEventLoop(
-		func(ctx context.Context, np netpoll.Connection) error {
-			c, ok := ctx.Value(key{}).(*Conn)
-			if !ok {
-				return errors.New("link: accepted connection has no Conn in its context")
-			}
-			return c.onRequest(ctx, np)
-		},
-		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			l.openConns.Add(1)
-			_ = np.AddCloseCallback(func(netpoll.Connection) error {
-				l.openConns.Add(-1)
-				return nil
-			})
-			if l.openConns.Load() > l.maxConns.Load() {
-				_ = np.Close()
-				return context.Background()
-			}
-			return context.WithValue(context.Background(), key{}, newConn(np, maxQueued, accept))
-		}))
-	if err != nil {
-		ln.Close()
-		return nil, err
-	}
-	l.eventLoop = loop
-	return l, nil
-}
-
-// Serve starts to accept connections.
-func (l *Listener) Serve() {
-	l.serveOnce.Do(func() { go func() { _ = l.eventLoop.Serve(l.ln) }() })
-}
-
-// stoppableListener is a listener that can stop accepting: it reports itself closed, so that netpoll removes it from its
-// poller, while connections that it has already accepted stay open.
-type stoppableListener struct {
-	netpoll.Listener
-	socket    net.Listener
-	inherited bool
-	stopped   atomic.Bool
-}
-
-// Accept accepts nothing once the listener has been stopped, so that new connections to an inherited socket are left to the
-// other processes that hold it.
-func (s *stoppableListener) Accept() (net.Conn, error) {
-	if s.stopped.Load() {
-		return nil, net.ErrClosed
-	}
-	return s.Listener.Accept()
-}
-
-// Close closes the socket without closing netpoll's file descriptor by number. netpoll 0.7 closes the descriptor of a
-// listener twice, and the second time could close another file that got the same number in between. Here the socket is shut
-// down, unless other processes hold it, and netpoll's copy of it is closed once, when its file object is garbage collected.
-func (s *stoppableListener) Close() error {
-	if !s.inherited {
-		_ = syscall.Shutdown(s.Fd(), syscall.SHUT_RDWR)
-	}
-	return s.socket.Close()
-}
-
-// Addr returns the address on which the listener accepts connections.
-func (l *Listener) Addr() string { return l.ln.Addr().String() }
-
-// Inherited reports whether the socket was passed to this process, so that other processes may hold it too.
-func (l *Listener) Inherited() bool { return l.inherited }
-
-// StopAccepting accepts no more connections from an inherited socket and leaves them to the other processes that hold it;
-// open connections stay.
-func (l *Listener) StopAccepting() { l.ln.stopped.Store(true) }
-
-// RejectNew stops listening, so that new connections are refused, or left to the other processes that hold an inherited socket.
-// Open connections stay.
-func (l *Listener) RejectNew() {
-	l.maxConns.Store(0)
-	l.StopAccepting()
-	if !l.inherited {
-		_ = syscall.Shutdown(l.ln.Fd(), syscall.SHUT_RDWR)
-	}
-}
-
-// Close stops listening and closes all accepted connections.
-func (l *Listener) Close() {
-	l.serveOnce.Do(func() {})
-	l.StopAccepting()
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	_ = l.eventLoop.Shutdown(ctx)
-	_ = l.ln.Close()
-}
-
 func (c *Conn) onRequest(_ context.Context, np netpoll.Connection) error {
 	c.handling.Store(true)
 	defer c.handling.Store(false)
@@ -395,147 +214,6 @@
 	return 0
 }
 
-// Send queues a message and never blocks. It returns false if the connection is closed, or if the queue is full because the
-// peer has not read for too long; the latter closes the connection. A message with a nil handle cannot be withdrawn.
-func (c *Conn) Send(b []byte, handle *SendHandle) bool {
-	c.mu.Lock()
-	if c.closing || c.closed {
-		c.mu.Unlock()
-		return false
-	}
-	if c.queued+len(b) > c.maxQueued {
-		c.mu.Unlock()
-		c.Close()
-		return false
-	}
-	c.queue = append(c.queue, message{b, handle})
-	c.queued += len(b)
-	c.wakeWriter()
-	c.mu.Unlock()
-	return true
-}
-
-// wakeWriter wakes the writing goroutine, and starts it at the first message. Until then there is none, so that connections
-// on which nothing is sent need few resources.
-func (c *Conn) wakeWriter() {
-	if !c.writing {
-		c.writing = true
-		go c.writeLoop()
-	}
-	c.wake.Signal()
-}
-
-// CloseAfterFlush closes the connection once all queued messages have been written.
-func (c *Conn) CloseAfterFlush() {
-	c.mu.Lock()
-	c.closing = true
-	if !c.closed {
-		c.wakeWriter()
-	}
-	c.mu.Unlock()
-}
-
-// CloseIfIdle closes the connection at once if nothing is under way on it: all queued messages have been written, nothing has
-// been received that the handler has not consumed, and handled, which is called last, reports that what the handler has consumed
-// was dealt with. CloseIfIdle reports whether it closed the connection. What arrives after the check stays unread, so that the
-// peer gets a reset for it: it can tell that nobody acted on it. Without an earlier PauseReading, a message that is being read
-// at that moment can be missed.
-func (c *Conn) CloseIfIdle(handled func() bool) bool {
-	if !c.outputWritten() || c.inputUnread() || c.inputBuffered() || c.partialSince.Load() != 0 || !handled() {
-		return false
-	}
-	c.Close()
-	return true
-}
-
-// CloseIfReadIsHandled is like CloseIfIdle but leaves unread what the kernel holds, and drops an incomplete message.
-func (c *Conn) CloseIfReadIsHandled(handled func() bool) bool {
-	if !c.outputWritten() || c.inputBuffered() || !handled() {
-		return false
-	}
-	c.Close()
-	return true
-}
-
-// outputWritten reports whether all messages have been handed to the kernel, and the connection is open.
-func (c *Conn) outputWritten() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closed && !c.flushing && len(c.queue) == 0
-}
-
-// inputUnread reports whether the kernel holds input that netpoll has not read.
-func (c *Conn) inputUnread() bool {
-	unread := false
-	c.withSocket(func(conn netpoll.Conn) { unread = unreadBytes(conn) > 0 })
-	return unread
-}
-
-// inputBuffered reports whether input has been read that the handler has not seen. It checks in the order in which bytes move, so
-// that they cannot pass by the checks.
-func (c *Conn) inputBuffered() bool {
-	buffered := false
-	c.withSocket(func(netpoll.Conn) { buffered = c.np.Reader().Len() > 0 || c.handling.Load() })
-	return buffered
-}
-
-// PauseReading leaves what arrives from now on in the kernel, until ResumeReading or pauseLimit. What netpoll is reading at this
-// moment becomes visible to CloseIfIdle within readTime.
-func (c *Conn) PauseReading() {
-	c.withSocket(func(conn netpoll.Conn) {
-		if c.pausedAt.Load() != 0 {
-			return
-		}
-		at := int64(clock())
-		c.pausedAt.Store(at)
-		// With a high mark the socket does not become readable for what is as short as a message.
-		setLowWaterMark(conn, pausedLowWaterMark)
-		time.AfterFunc(pauseLimit, func() { c.endPause(at) })
-	})
-}
-
-// ResumeReading ends a pause.
-func (c *Conn) ResumeReading() { c.endPause(c.pausedAt.Load()) }
-
-// endPause ends the pause that began at the given time, if it still lasts.
-func (c *Conn) endPause(began int64) {
-	c.withSocket(func(conn netpoll.Conn) {
-		if began != 0 && c.pausedAt.CompareAndSwap(began, 0) {
-			setLowWaterMark(conn, 1)
-		}
-	})
-}
-
-// ReadingPaused reports whether reading has been paused for so long that nothing is being read any more.
-func (c *Conn) ReadingPaused() bool {
-	at := c.pausedAt.Load()
-	return at != 0 && clock()-time.Duration(at) >= readTime
-}
-
-// setLowWaterMark sets how many bytes must have arrived for the socket to become readable. It has no effect where the system does
-// not support it.
-func setLowWaterMark(conn netpoll.Conn, bytes int) {
-	_ = unix.SetsockoptInt(conn.Fd(), unix.SOL_SOCKET, unix.SO_RCVLOWAT, bytes)
-}
-
-// withSocket calls fn unless the socket has been closed, and keeps netpoll from closing it meanwhile.
-func (c *Conn) withSocket(fn func(netpoll.Conn)) {
-	c.outputMu.Lock()
-	defer c.outputMu.Unlock()
-	if conn, ok := c.np.(netpoll.Conn); ok && !c.outputGone {
-		fn(conn)
-	}
-}
-
-// unreadBytes returns how many bytes the kernel holds that netpoll has not read.
-func unreadBytes(conn netpoll.Conn) int {
-	n, err := unix.IoctlGetInt(conn.Fd(), unix.SIOCINQ)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // Close closes the connection at once and drops queued messages.
 func (c *Conn) Close() {
 	c.markClosed()
@@ -554,72 +232,6 @@
 	c.closedOnce.Do(func() { c.handler.Closed(c) })
 }
 
-// nextBatch waits for the next batch of messages to write; nil means that the connection is to be closed.
-func (c *Conn) nextBatch() []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.flushing = false
-	for {
-		var batch []byte
-		n := 0
-		for _, m := range c.queue {
-			if len(batch) > 0 && len(batch)+len(m.bytes) > maxWrite {
-				break
-			}
-			n++
-			c.queued -= len(m.bytes)
-			if m.handle == nil || m.handle.state.CompareAndSwap(waiting, written) {
-				batch = append(batch, m.bytes...)
-				if m.handle != nil && m.handle.Counter != nil {
-					m.handle.Counter.Inc()
-				}
-			}
-		}
-		c.queue = append(c.queue[:0], c.queue[n:]...)
-		switch {
-		case c.closed:
-			return nil
-		case len(batch) > 0:
-			c.flushing = true
-			return batch
-		case len(c.queue) > 0:
-			continue
-		case c.closing:
-			return nil
-		}
-		c.wake.Wait()
-	}
-}
-
-func (c *Conn) writeLoop() {
-	for b := c.nextBatch(); b != nil; b = c.nextBatch() {
-		if err := c.write(b); err != nil {
-			break
-		}
-	}
-	c.Close()
-}
-
-// write hands b to the kernel and waits while the peer does not read, for writeTimeout at most.
-func (c *Conn) write(b []byte) error {
-	if err := c.appendOutput(b); err != nil {
-		return err
-	}
-	return c.np.Writer().Flush()
-}
-
-// appendOutput adds b to netpoll's output buffer, unless the connection is being closed. Unlike Flush, netpoll 0.7's WriteBinary
-// does not notice a close: without the lock, it would use a buffer that has been freed.
-func (c *Conn) appendOutput(b []byte) error {
-	c.outputMu.Lock()
-	defer c.outputMu.Unlock()
-	if c.outputGone {
-		return net.ErrClosed
-	}
-	_, err := c.np.Writer().WriteBinary(b)
-	return err
-}
-
 func init() {
 	// The program is meant for one CPU core: a second poller would only compete with the first for it. netpoll's log of each
 	// reset and early close is discarded, because the owners of the connections count these events.
