--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -682,3 +682,38 @@
 		t.Errorf("%d final answers: %q", n, got)
 	}
 }
+
+// Guards against a second final answer: a copy of a set-up that was refused at the limit of its connection must be ignored, also
+// when the limit has eased.
+func TestCopyOfSetUpRefusedAtTheLimit(t *testing.T) {
+	s := newCallers()
+	c := listen(t, s)()
+	var b []byte
+	for i := range maxQueuedPerConn + 1 {
+		b = newInvite(fmt.Sprintf("%016x", i), "check", "1500", "dest:1", "v=0").Append(b)
+	}
+	last := newInvite(fmt.Sprintf("%016x", maxQueuedPerConn), "check", "1500", "dest:1", "v=0").Append(nil)
+	write := func(b []byte) {
+		if _, err := c.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(b)
+	c.SetReadDeadline(time.Now().Add(testTimeout))
+	if n, err := c.Read(make([]byte, 4096)); err != nil {
+		t.Fatalf("read %d: %v", n, err)
+	}
+	write(last)
+	for end := time.Now().Add(testTimeout); s.core.Metrics.Duplicates.Value() < 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the first copy was not ignored")
+		}
+	}
+	s.core.Step() // the limit has eased
+	write(last)
+	for end := time.Now().Add(testTimeout); s.core.Metrics.Duplicates.Value() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the second copy was not ignored")
+		}
+	}
+}
