Copies of set-ups refused at a connection's limit are ignored

What callers saw: with more than 256 messages of a connection unhandled, or the memory for them used up, a set-up and its copy both got 503; a copy that came after the limit had eased ran.

Cause: Data refuses at the limits on the reading goroutine and kept nothing of the call. Class: as with refusals on arrival, a reply path without the bookkeeping of the others.

Change: a connection that was over a limit remembers the last 256 Call-IDs refused there, as numbers, and ignores their copies. Left: a copy that comes over the limit while its set-up is being handled still gets 503; callers use a new ID for each set-up.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -128,7 +128,7 @@
 func (s *Callers) OpenCalls() int { return len(s.legs) }
 
 // callerConn is one connection. Its methods Data and Closed run outside the core's loop; they post to it and change nothing
-// but the counts of queued messages.
+// but the counts of queued messages and overLimit.
 type callerConn struct {
 	callers       *Callers
 	link          *link.Conn
@@ -144,6 +144,7 @@
 	badRequests   int                 // invalid requests refused
 	queued        atomic.Int32        // messages received and not handled yet
 	closeTrying   bool                // closeSoon is about to close it
+	overLimit     recentCalls         // set-ups refused at the limits; used by Data only
 }
 
 // NewCallers returns the caller side. sentBy is the agent's address in the Via header. Above softConnLimit connections, each
@@ -244,10 +245,17 @@
 		}
 		// Limits the queue and the memory that a flood of messages can take: what exceeds the limits is refused here, at the
 		// cost of parsing it.
+		if m.Method == "INVITE" && c.overLimit.contains(m.Get("Call-ID")) {
+			core.Metrics.Duplicates.Inc() // a copy of a set-up that has its answer
+			continue
+		}
 		size := int64(n)
 		messages, bytes := c.queued.Add(1), c.callers.queuedBytes.Add(size) // both count it until it is dequeued
 		if messages > maxQueuedPerConn || bytes > int64(c.callers.maxBytes) {
 			core.Metrics.RateLimited.Inc()
+			if m.Method == "INVITE" {
+				c.overLimit.add(m.Get("Call-ID"))
+			}
 			if m.Method != "" && m.Method != "ACK" {
 				l.Send(m.Response(503, "Service Unavailable", "").Append(nil), nil)
 			}
--- a/internal/platform/invite.go
+++ b/internal/platform/invite.go
@@ -94,8 +94,8 @@
 
 // validCallID reports whether an id has the form that this protocol uses: 16 hex digits.
 func validCallID(id string) bool {
-	_, err := strconv.ParseUint(id, 16, 64)
-	return err == nil && len(id) == 16
+	_, valid := callNumber(id)
+	return valid
 }
 
 func (s *Callers) parseInvite(id string, m *sip.Message) (*agent.Call, error) {
