Notifications of gateways about an earlier call on their line are ignored

What callers saw: a call that rang at a gateway could be answered by nobody: a late off-hook notification of the call that had rung on the line before was taken for its own; a late on-hook could end a call.

Cause: handleCommand acted on a notification by line alone, without its RequestIdentifier.

Change: a line remembers the identifiers of requests from before its present call, 16 at most, and ignores (acknowledges, counts, logs) notifications for those. One without or with an unknown identifier counts as before.

--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -66,12 +66,12 @@
 
 // line is the state of one endpoint. It has at most one call at a time, either as the caller or as the called side.
 type line struct {
-	gw        *gateway
-	name      string // full endpoint name, including the gateway's domain
-	caller    *callerLeg
-	called    *calledLeg
-	closing   bool   // a DLCX is pending; the line is not free until the response arrives
-	requestID uint32 // RequestIdentifier of the last notification request
+	gw       *gateway
+	name     string // full endpoint name, including the gateway's domain
+	caller   *callerLeg
+	called   *calledLeg
+	closing  bool // a DLCX is pending; the line is not free until the response arrives
+	requests notificationRequests
 }
 
 // callerLeg is the gateway's side of a call that comes from the gateway.
@@ -169,8 +169,9 @@
 // addNotificationRequest adds the parameters of a notification request to m: the events that the line is to report, and
 // the signals that it is to apply. Empty signals stop the current ones.
 func (f *FrontEnd) addNotificationRequest(l *line, m *Message, events, signals string) *Message {
-	l.requestID = f.rng.Uint32()
-	m.AddParam("X", fmt.Sprintf("%X", l.requestID)).AddParam("R", events)
+	id := f.rng.Uint32()
+	l.requests.add(id)
+	m.AddParam("X", fmt.Sprintf("%X", id)).AddParam("R", events)
 	if strings.Contains(events, "D/") && f.config.DigitMap != "" {
 		m.AddParam("D", f.config.DigitMap)
 	}
@@ -213,7 +214,12 @@
 			return
 		}
 		respondOK()
-		f.handleEvents(lines[0], events)
+		if l := lines[0]; l.requests.isEarlier(m) {
+			f.core.Metrics.StrayMessages.Inc()
+			f.log.Info("notification about an earlier call ignored", zap.String("line", l.name), zap.Strings("events", events))
+		} else {
+			f.handleEvents(l, events)
+		}
 	case "RSIP":
 		respondOK()
 		f.handleRestart(gw, lines, allLines, m)
@@ -348,6 +354,7 @@
 		return
 	}
 	l.caller = &callerLeg{line: l}
+	l.requests.startCall()
 	f.reportFreeLines(l.gw)
 	f.tx.request(l.gw.addr, f.addNotificationRequest(l, &Message{Verb: "RQNT", Endpoint: l.name},
 		"D/[0-9*#T](D), L/hu(N)", "L/dl"), nil)
@@ -510,6 +517,7 @@
 	l := gw.lines[i]
 	leg := &calledLeg{line: l, attempt: a}
 	a.Leg, l.called = leg, leg
+	l.requests.startCall()
 	m := (&Message{Verb: "CRCX", Endpoint: l.name, SDP: a.Call.Description}).AddParam("C", a.Call.ID)
 	if gw.ManualAnswer {
 		m = f.addNotificationRequest(l, m.AddParam("M", "inactive"), "L/hd(N)", "L/rg")
