--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -457,3 +457,37 @@
 	}
 	return n
 }
+
+// Guards against messages lost on a connection that nobody reads: a dial opens one connection only, however it ends. A far end sends
+// what it could not send before on the next connection that is opened.
+func TestDialOpensOneConnection(t *testing.T) {
+	const dials = 1000
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan int)
+	go func() {
+		n := 0
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				accepted <- n
+				return
+			}
+			n++
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	for range dials {
+		handler := discardHandler{make(chan struct{})}
+		if _, err := Dial(ln.Addr().String(), 10*time.Second, handler); err == nil {
+			<-handler.closed
+		}
+	}
+	ln.Close()
+	if n := <-accepted; n > dials {
+		t.Errorf("%d dials opened %d connections", dials, n)
+	}
+}
