--- a/internal/faultrig/discovery.go
+++ b/internal/faultrig/discovery.go
@@ -25,7 +25,9 @@
 	frameHeaderSize = 9
 	keepAlive       = time.Second
 	kindKeepAlive   = 0
+	kindWhole       = 1
 	kindDelta       = 2
+	recordSize      = 27
 )
 
 // listing is the entry of a far end in the list.
@@ -39,11 +41,8 @@
 
 func (l listing) name() string { return fmt.Sprintf("s-%08x", l.ID) }
 
-// frame returns the event that brings the listing, as a frame of the change log.
-func (l listing) frame(seq uint64) []byte {
-	b := binary.BigEndian.AppendUint32(nil, frameHeaderSize+27)
-	b = binary.BigEndian.AppendUint64(b, seq)
-	b = append(b, kindDelta)
+// appendRecord appends the listing as a record of a frame.
+func (l listing) appendRecord(b []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, l.ID)
 	addr := l.Addr.Addr().As4()
 	b = append(b, addr[:]...)
@@ -54,11 +53,31 @@
 	return binary.BigEndian.AppendUint64(b, uint64(l.StartedAtMs))
 }
 
+// listEvent is an event of the change log: the listings that changed, or the whole list.
+type listEvent struct {
+	whole    bool
+	listings []listing
+}
+
+// frame returns the event as a frame of the change log.
+func (e listEvent) frame(seq uint64) []byte {
+	kind := byte(kindDelta)
+	if e.whole {
+		kind = kindWhole
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(frameHeaderSize+recordSize*len(e.listings)))
+	b = append(binary.BigEndian.AppendUint64(b, seq), kind)
+	for _, l := range e.listings {
+		b = l.appendRecord(b)
+	}
+	return b
+}
+
 // changeLog is the numbered log of changes. Several servers may serve it.
 type changeLog struct {
 	recorder *Recorder
 	mu       sync.Mutex
-	entries  []listing
+	entries  []listEvent
 	first    uint64 // number of the last event before entries
 }
 
@@ -66,12 +85,16 @@
 	return &changeLog{recorder: recorder, first: first}
 }
 
-// add appends a change.
-func (l *changeLog) add(e listing) {
+// add appends a change, as an event of its own or, if whole is not empty, with the whole list.
+func (l *changeLog) add(change listing, whole ...listing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = append(l.entries, e)
-	l.recorder.Add(Event{Kind: ListChanged, FarEnd: e.name(), Value: int64(l.first) + int64(len(l.entries)), Note: e.State})
+	event := listEvent{listings: []listing{change}}
+	if len(whole) > 0 {
+		event = listEvent{whole: true, listings: slices.Clone(whole)}
+	}
+	l.entries = append(l.entries, event)
+	l.recorder.Add(Event{Kind: ListChanged, FarEnd: change.name(), Value: int64(l.first) + int64(len(l.entries)), Note: change.State})
 }
 
 // present returns the number of the last event.
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -22,15 +22,18 @@
 )
 
 const (
-	drainTime      = 4 * time.Second // from the end of the traffic until all calls should have been released
-	readyTimeout   = 10 * time.Second
-	newConnections = 300 * time.Millisecond // after SIGTERM, the front still opens connections for this long
-	drainToGone    = 800 * time.Millisecond // from draining to gone in the list
-	reloadPause    = 2 * time.Millisecond   // between the new configurations of a series
-	drainGrace     = 250 * time.Millisecond // as in settingsJSON
-	firstSequence  = 40
-	firstFarEnd    = 0xfa000001
-	nextGeneration = 0x10000 // from the ID of a far end to that of its replacement
+	drainTime    = 4 * time.Second // from the end of the traffic until all calls should have been released
+	readyTimeout = 10 * time.Second
+	// after SIGTERM, the front still opens connections for a time between these
+	minNewConnections = 200 * time.Millisecond
+	maxNewConnections = 400 * time.Millisecond
+	drainToGone       = 800 * time.Millisecond // from draining to gone in the list
+	reloadPause       = 2 * time.Millisecond   // between the new configurations of a series
+	drainGrace        = 250 * time.Millisecond // as in settingsJSON
+	firstSequence     = 40
+	firstFarEnd       = 0xfa000001
+	nextGeneration    = 0x10000 // from the ID of a far end to that of its replacement
+	shareOfWholeLists = 0.2     // of the events of the change log
 	// of the configurations in a series, those that are cut short; the last one never is
 	shareOfBadConfigs = 0.1
 	setUpsOfACrowd    = 25 * time.Millisecond
@@ -312,7 +315,11 @@
 	if state == stateReady {
 		l.StartedAtMs = time.Now().UnixMilli()
 	}
-	a.log.add(*l)
+	if a.crowd.chance(shareOfWholeLists) {
+		a.log.add(*l, a.list...)
+	} else {
+		a.log.add(*l)
+	}
 	return true
 }
 
@@ -434,7 +441,9 @@
 func (a *site) endProcess() {
 	a.process.signal(syscall.SIGTERM, signalTerminate)
 	terminated := time.Now()
-	time.Sleep(newConnections)
+	time.Sleep(random(a.crowd, func(r *rand.Rand) time.Duration {
+		return minNewConnections + time.Duration(r.Int64N(int64(maxNewConnections-minNewConnections)))
+	}))
 	a.crowd.setAcceptsNew(false)
 	if !a.process.waitEnded(time.Until(terminated.Add(killAfterTerm))) {
 		a.process.signal(syscall.SIGKILL, signalKill)
