Failing test: a release that is handled before the dial of its connection is lost in a panic

Found by reading what answers lines: farConn.link is set when the result of the dial is handled, and lines may be handled before. A far end sends its releases as soon as a connection opens, so the loop can see one first. The test fails: the loop contains the panic, and the caller is released only when the far end counts as silent, 9 s later.

--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -17,6 +17,7 @@
 	"tinbeam/internal/agent"
 	"tinbeam/internal/changelog"
 	"tinbeam/internal/farend"
+	"tinbeam/internal/link"
 	"tinbeam/internal/metrics"
 )
 
@@ -461,3 +462,26 @@
 	launch.conn.send(farend.Running, "v=0 late", 0)
 	f.next(farend.Stop)
 }
+
+// Guards against a release that is lost, or a process that ends by itself: a far end sends what concerns a call as soon as a
+// connection opens, so a line may be handled before the connection's dial is.
+func TestReleaseBeforeTheDialIsHandled(t *testing.T) {
+	f := newFarEndFixture(t)
+	f.open()
+	f.offer()
+	f.next(farend.Launch).conn.send(farend.Running, "v=0 first", 0)
+	f.nextAnswer()
+	var opening *farConn
+	var socket *link.Conn
+	f.onLoop(func() {
+		x := f.farEnds.byID[7]
+		opening, socket = &farConn{farEnd: x}, x.conns[0].link
+	})
+	line := (&farend.Message{Kind: farend.Stop, UID: testCallID, Cause: farend.CauseNormal}).Append(nil)
+	if _, err := opening.Data(socket, line); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.nextAnswer(); got != "released 16" {
+		t.Errorf("the caller got %q", got)
+	}
+}
