Lines from a far end may be handled before the dial of their connection

What callers saw: a release that a far end sent as a connection opened could be lost (found by a test: the caller heard of it 9 s later), and before panics were contained, the process could end: nil dereference in farConn.handleStop.

Cause: farConn.link was set with the result of the dial, which the dialing goroutine posts; netpoll's goroutine may post lines before it. Class: two events of different goroutines taken to come in one order.

Change: each line brings its connection along. In related code: change log connections send nothing before the request, which follows the dial; callers' connections get theirs at the accept.

--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -345,6 +345,7 @@
 			}
 			core.Post(func() {
 				c.queuedBytes.Add(-int64(n))
+				c.link = l // lines may be handled before the result of the dial
 				c.handleLine(m)
 			})
 		}
