--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -165,15 +165,11 @@
 	}
 }
 
-// drainSession keeps a connection at the end of the traffic until its calls have been answered and released.
+// drainSession keeps a connection for a while at the end of the traffic, since the release of any call may come on it.
 func (c *crowd) drainSession(conn *callerConn) {
-	for end := time.Now().Add(drainTime); time.Now().Before(end) && conn.busy(); {
-		select {
-		case <-conn.ended:
-			conn.finish()
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
+	select {
+	case <-conn.ended:
+	case <-time.After(drainTime):
 	}
 	conn.Close()
 	<-conn.ended
