--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -491,3 +492,24 @@
 		t.Errorf("%d dials opened %d connections", dials, n)
 	}
 }
+
+// countedMessages counts the messages that were handed to the kernel.
+type countedMessages struct{ atomic.Int64 }
+
+func (c *countedMessages) Inc() { c.Int64.Add(1) }
+
+// Guards against statistics that lag behind what the peer can see: a message has been counted when it arrives.
+func TestMessageIsCountedWhenItArrives(t *testing.T) {
+	c, peer, _ := pair(t)
+	counter := new(countedMessages)
+	b := make([]byte, 1)
+	for i := range int64(20000) {
+		c.Send(b, &SendHandle{Counter: counter})
+		if _, err := io.ReadFull(peer, b); err != nil {
+			t.Fatal(err)
+		}
+		if n := counter.Load(); n != i+1 {
+			t.Fatalf("%d messages counted, %d arrived", n, i+1)
+		}
+	}
+}
