--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -414,8 +414,10 @@
 		t.Fatal(err)
 	}
 	defer peer.Close()
+	counter := new(countedMessages)
 	handles := make([]SendHandle, messages)
 	for i := range handles {
+		handles[i].Counter = counter
 		c.Send(bytes.Repeat([]byte{byte(i), byte(i >> 8)}, size/2), &handles[i])
 	}
 	time.Sleep(100 * time.Millisecond) // what the kernel takes has been written
@@ -438,6 +440,9 @@
 	if len(received) != (messages-withdrawn)*size {
 		t.Errorf("%d bytes received, %d of %d messages of %d bytes withdrawn", len(received), withdrawn, messages, size)
 	}
+	if n := counter.count.Load(); n != int64(messages-withdrawn) {
+		t.Errorf("%d messages counted, %d were not withdrawn", n, messages-withdrawn)
+	}
 }
 
 // unsentBytes returns how many bytes of a connection the kernel has not delivered.
@@ -494,21 +499,21 @@
 }
 
 // countedMessages counts the messages that were handed to the kernel.
-type countedMessages struct{ atomic.Int64 }
+type countedMessages struct{ count atomic.Int64 }
 
-func (c *countedMessages) Inc() { c.Int64.Add(1) }
+func (c *countedMessages) Add(n int64) { c.count.Add(n) }
 
 // Guards against statistics that lag behind what the peer can see: a message has been counted when it arrives.
 func TestMessageIsCountedWhenItArrives(t *testing.T) {
 	c, peer, _ := pair(t)
 	counter := new(countedMessages)
-	b := make([]byte, 1)
+	sent, received := []byte("x"), make([]byte, 1)
 	for i := range int64(20000) {
-		c.Send(b, &SendHandle{Counter: counter})
-		if _, err := io.ReadFull(peer, b); err != nil {
+		c.Send(sent, &SendHandle{Counter: counter})
+		if _, err := io.ReadFull(peer, received); err != nil {
 			t.Fatal(err)
 		}
-		if n := counter.Load(); n != i+1 {
+		if n := counter.count.Load(); n != i+1 {
 			t.Fatalf("%d messages counted, %d arrived", n, i+1)
 		}
 	}
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -22,10 +22,10 @@
 	maxWriteRetryTime = 16 * time.Millisecond
 )
 
-// SendHandle allows a sent message to be withdrawn until the kernel has taken a part of it. Counter, if set, is incremented when
-// that happens.
+// SendHandle allows a sent message to be withdrawn until the kernel has taken a part of it. Counter, if set, counts the messages
+// that were not withdrawn: 1 is added before the kernel is given a message, and taken back if it takes nothing of it.
 type SendHandle struct {
-	Counter interface{ Inc() }
+	Counter interface{ Add(n int64) }
 	state   atomic.Int32
 }
 
@@ -46,21 +46,29 @@
 	handle *SendHandle
 }
 
-// claim marks the message as written, unless it was withdrawn.
+// claim marks the message as written and counts it, unless it was withdrawn.
 func (m message) claim() bool {
-	return m.handle == nil || m.handle.state.CompareAndSwap(waiting, written)
+	if m.handle == nil {
+		return true
+	}
+	if !m.handle.state.CompareAndSwap(waiting, written) {
+		return false
+	}
+	m.handle.count(1)
+	return true
 }
 
 // unclaim lets the message be withdrawn again, since the kernel has taken nothing of it.
 func (m message) unclaim() {
 	if m.handle != nil {
+		m.handle.count(-1)
 		m.handle.state.Store(waiting)
 	}
 }
 
-func (m message) count() {
-	if m.handle != nil && m.handle.Counter != nil {
-		m.handle.Counter.Inc()
+func (h *SendHandle) count(n int64) {
+	if h.Counter != nil {
+		h.Counter.Add(n)
 	}
 }
 
@@ -183,7 +191,6 @@
 	begun, end := 0, 0 // the number of messages that the kernel has taken or begun, and their size
 	for begun < len(batch) && (end < n || len(batch[begun].bytes) == 0) {
 		end += len(batch[begun].bytes)
-		batch[begun].count()
 		begun++
 	}
 	c.putBack(batch[begun:])
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,7 +21,7 @@
 // Inc adds one to the value.
 func (c *Counter) Inc() { c.value.Add(1) }
 
-// Add adds n to the value; n may be negative only for a gauge.
+// Add adds n to the value; n is negative for a gauge, and to take back what was counted too early.
 func (c *Counter) Add(n int64) { c.value.Add(n) }
 
 // Set sets the value of a gauge.
