--- a/review/standin/farend.go
+++ b/review/standin/farend.go
@@ -35,11 +35,12 @@
 	record   *record
 	hold     func(call string) time.Duration // how long a call stands
 	onSetUp  func(call string, at time.Duration)
+	seen     *attempts // when attempts were out; nil: not noted
 
 	listener net.Listener
 	mu       sync.Mutex
 	conns    []*farConn
-	calls    map[string]*farCall
+	calls    map[*farCall]bool
 	repeats  [][]byte // releases to send again on the next connection
 }
 
@@ -61,6 +62,8 @@
 	id     string
 	conn   *farConn
 	stands bool
+	over   bool
+	out    *out // nil: not noted
 }
 
 // circuits is the size of the group between the agent and a far end.
@@ -71,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &farEnd{id: id, exchange: exchange, addr: ln.Addr().String(), record: r, listener: ln, calls: map[string]*farCall{}}
+	f := &farEnd{id: id, exchange: exchange, addr: ln.Addr().String(), record: r, listener: ln, calls: map[*farCall]bool{}}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -89,7 +92,7 @@
 // state returns the state of the group. The lock is held.
 func (f *farEnd) state() line {
 	free := circuits
-	for _, c := range f.calls {
+	for c := range f.calls {
 		if c.stands {
 			free--
 		}
@@ -132,9 +135,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *farConn) bool { return o == c })
-	for id, call := range f.calls {
+	for call := range f.calls {
 		if call.conn == c && !call.stands {
-			delete(f.calls, id) // given up with its connection
+			f.remove(call, f.record.add(f.name(), "the set-up of call %s was given up with its connection", call.id))
 		}
 	}
 }
@@ -147,14 +150,21 @@
 			f.onSetUp(l.UID, at)
 		}
 		call := &farCall{id: l.UID, conn: c}
+		if f.seen != nil {
+			call.out = f.seen.begin(l.UID, f.name(), at)
+		}
 		f.mu.Lock()
-		f.calls[l.UID] = call
+		f.calls[call] = true
 		f.mu.Unlock()
 		time.AfterFunc(15*time.Millisecond, func() { f.answer(call) })
 	case "stop":
-		f.record.add(f.name(), "the agent released call %s", l.UID)
+		at := f.record.add(f.name(), "the agent released call %s", l.UID)
 		f.mu.Lock()
-		delete(f.calls, l.UID)
+		for call := range f.calls {
+			if call.id == l.UID {
+				f.remove(call, at)
+			}
+		}
 		f.mu.Unlock()
 		_ = c.writeLine(line{Kind: "stopped", UID: l.UID}.bytes())
 		f.tellState()
@@ -167,9 +177,19 @@
 	}
 }
 
+// remove ends a set-up or a call. The lock is held.
+func (f *farEnd) remove(call *farCall, at time.Duration) {
+	call.over = true
+	delete(f.calls, call)
+	if call.out != nil {
+		f.seen.end(call.out, at)
+	}
+}
+
+// answer answers a set-up.
 func (f *farEnd) answer(call *farCall) {
 	f.mu.Lock()
-	if f.calls[call.id] != call {
+	if call.over {
 		f.mu.Unlock()
 		return
 	}
@@ -187,11 +207,11 @@
 // release ends a call that stands: on the connection of its set-up, or else on any open one, and also on the next one opened.
 func (f *farEnd) release(call *farCall) {
 	f.mu.Lock()
-	if f.calls[call.id] != call {
+	if call.over {
 		f.mu.Unlock()
 		return
 	}
-	delete(f.calls, call.id)
+	f.remove(call, f.record.add(f.name(), "call %s is over and released", call.id))
 	cause := 16
 	b := line{Kind: "stop", UID: call.id, Reason: &cause}.bytes()
 	f.repeats = append(f.repeats, b)
@@ -201,7 +221,6 @@
 	}
 	conns = append(conns, f.conns...)
 	f.mu.Unlock()
-	f.record.add(f.name(), "call %s is over and released", call.id)
 	for _, c := range conns {
 		if c.writeLine(b) == nil {
 			break
@@ -216,12 +235,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cut := []string{}
-	for id, c := range f.calls {
+	for c := range f.calls {
 		if c.stands {
-			cut = append(cut, id)
+			cut = append(cut, c.id)
 		}
+		f.remove(c, f.record.now())
 	}
-	clear(f.calls)
 	for _, c := range f.conns {
 		_ = c.Conn.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
