--- a/review/standin/farend.go
+++ b/review/standin/farend.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,17 +37,23 @@
 	hold     func(call string) time.Duration // how long a call stands
 	onSetUp  func(call string, at time.Duration)
 	seen     *attempts // when attempts were out; nil: not noted
+	full     bool      // it tells that no circuit is free
 
 	listener net.Listener
 	mu       sync.Mutex
 	conns    []*farConn
 	calls    map[*farCall]bool
 	repeats  [][]byte // releases to send again on the next connection
+
+	connLimit, held int // connections that it may hold (0: no limit), and holds
+	resetEvery      int // one in so many answers is lost with all connections; 0: none
+	answers         int
 }
 
 type farConn struct {
 	net.Conn
-	writes sync.Mutex
+	writes   sync.Mutex
+	wasReset atomic.Bool // by the network; the far end notices that a moment later
 }
 
 func (c *farConn) writeLine(b []byte) error {
@@ -75,18 +82,22 @@
 		return nil, err
 	}
 	f := &farEnd{id: id, exchange: exchange, addr: ln.Addr().String(), record: r, listener: ln, calls: map[*farCall]bool{}}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(&farConn{Conn: c})
-		}
-	}()
+	go f.accept(ln)
 	return f, nil
 }
 
+// accept serves connections until the listener is closed.
+func (f *farEnd) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		f.opened()
+		go f.serve(&farConn{Conn: c})
+	}
+}
+
 func (f *farEnd) name() string { return fmt.Sprintf("s-%08x", f.id) }
 
 // state returns the state of the group. The lock is held.
@@ -97,6 +108,9 @@
 			free--
 		}
 	}
+	if f.full {
+		free = 0
+	}
 	return line{Kind: "usage", UID: "0000000000000001", Meta: map[string]any{"load": fmt.Sprintf("x0:%d;x1:%d", free, circuits)}}
 }
 
@@ -111,6 +125,7 @@
 }
 
 func (f *farEnd) serve(c *farConn) {
+	defer f.ended()
 	defer c.Close()
 	f.mu.Lock()
 	state, repeats := f.state().bytes(), f.repeats
@@ -132,6 +147,9 @@
 			f.handle(c, l)
 		}
 	}
+	if c.wasReset.Load() {
+		time.Sleep(noticeReset)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.conns = slices.DeleteFunc(f.conns, func(o *farConn) bool { return o == c })
@@ -194,11 +212,18 @@
 		return
 	}
 	call.stands = true
+	f.answers++
+	lost := f.resetEvery > 0 && f.answers%f.resetEvery == 0
 	f.mu.Unlock()
 	body := "v=0 made by " + f.name() + " for " + call.id + "\r\n"
 	f.record.add(f.name(), "answered call %s", call.id)
-	_ = call.conn.writeLine(line{Kind: "running", UID: call.id, Body: &body}.bytes())
-	f.tellState()
+	if lost {
+		f.record.add(f.name(), "the answer to call %s is lost", call.id)
+		f.resetByNetwork()
+	} else {
+		_ = call.conn.writeLine(line{Kind: "running", UID: call.id, Body: &body}.bytes())
+		f.tellState()
+	}
 	if f.hold != nil {
 		time.AfterFunc(f.hold(call.id), func() { f.release(call) })
 	}
@@ -231,9 +256,11 @@
 
 // die ends the far end's process: its connections are reset and its calls cut. It returns the calls that stood.
 func (f *farEnd) die() []string {
-	_ = f.listener.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.listener != nil {
+		_ = f.listener.Close()
+	}
 	cut := []string{}
 	for c := range f.calls {
 		if c.stands {
