--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -28,6 +28,7 @@
 type callers struct {
 	record *record
 	addr   string
+	local  net.IP // address of the callers; nil: any
 	mu     sync.Mutex
 	calls  map[string]*call
 	order  []*call
@@ -47,7 +48,11 @@
 
 // connect opens a connection.
 func (s *callers) connect() (*callerConn, error) {
-	raw, err := net.DialTimeout("tcp", s.addr, time.Second)
+	dialer := net.Dialer{Timeout: time.Second}
+	if s.local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: s.local}
+	}
+	raw, err := dialer.Dial("tcp", s.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +120,12 @@
 				k.releasedAt = at
 			}
 			s.mu.Unlock()
-			c.reply(header, "200 OK")
+			if k == nil {
+				s.record.add("caller", "call %s is not known here: answered with 481", id)
+				c.reply(header, "481 Call/Transaction Does Not Exist")
+			} else {
+				c.reply(header, "200 OK")
+			}
 		case k != nil && strings.HasPrefix(first, "SIP/2.0 ") && strings.HasSuffix(header.Get("Cseq"), " INVITE"):
 			status, _ := strconv.Atoi(strings.Fields(first)[1])
 			if status < 200 {
