--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -66,7 +66,9 @@
 func (x *farEnd) dialFailed(refused bool) {
 	core := x.farEnds.core
 	core.Metrics.DialsFailed.Inc()
-	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused))
+	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused),
+		zap.Int("connections", len(x.conns)), zap.Int("attempts", len(x.attempts)), zap.Int("set-ups waiting", len(x.waiting)),
+		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.lastReceivedAt))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
 	if len(x.conns) > 0 {
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -501,7 +501,8 @@
 	case idle > unresponsiveTimeout:
 		// A machine that is gone or cut off sends nothing, its connections stay open, and no new one could be opened.
 		x.farEnds.log.Warn("far end is unresponsive",
-			zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)))
+			zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)), zap.Duration("silent", idle),
+			zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Bool("health check sent", x.checkPending))
 		core.Metrics.IdleLinks.Inc()
 		x.resetAttempts(core.Now())
 		x.closeConns()
@@ -515,6 +516,15 @@
 	}
 }
 
+// oldestAttemptAge returns the age of the oldest attempt or call at the far end; 0 without any.
+func (x *farEnd) oldestAttemptAge() time.Duration {
+	oldest := x.farEnds.core.Now()
+	for _, a := range x.attempts {
+		oldest = min(oldest, a.SentAt)
+	}
+	return x.farEnds.core.Now() - oldest
+}
+
 // pendingLongerThan reports whether a set-up has been pending for longer than age.
 func (x *farEnd) pendingLongerThan(age time.Duration) bool {
 	for _, a := range x.attempts {
