A call of the millisecond in which its far end restarts is released at once

Cause: the list has start times in whole milliseconds, rounded down. A call set up in the same millisecond before the restart counted as one of the new process and stood towards its caller until the silence was noticed. Change: a call sent before the end of that millisecond belongs to the process before.

--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -31,10 +31,11 @@
 	stallTimeout        = 300 * time.Millisecond // a line incomplete, or a connection idle, for this long does not recover
 	extraConnDelay      = 400 * time.Millisecond // idle time with a set-up pending before an extra connection is opened
 	sweepInterval       = 250 * time.Millisecond
-	healthCheckDelay    = 2 * time.Second // idle time of a far end with attempts or calls before a health check
-	unresponsiveTimeout = 5 * time.Second // idle time that means failure: its calls must be released within 8 s of its end
-	maxQueuedLineBytes  = 256 << 10       // bytes of lines of one connection that were received and not handled yet
-	floodRedialDelay    = time.Second     // before a connection to a far end that has flooded one
+	healthCheckDelay    = 2 * time.Second  // idle time of a far end with attempts or calls before a health check
+	unresponsiveTimeout = 5 * time.Second  // idle time that means failure: its calls must be released within 8 s of its end
+	maxQueuedLineBytes  = 256 << 10        // bytes of lines of one connection that were received and not handled yet
+	startResolution     = time.Millisecond // of the start times in the list, which are rounded down
+	floodRedialDelay    = time.Second      // before a connection to a far end that has flooded one
 )
 
 // FarEnds is the far-end side: it keeps connections open to the far ends in the far-end list.
@@ -189,7 +190,9 @@
 		x.closeConns()
 	}
 	// A restarted process has lost its earlier calls; calls set up after its start are its own.
-	x.resetAttempts(x.onlineSince)
+	if x.onlineSince > 0 {
+		x.resetAttempts(x.onlineSince + startResolution)
+	}
 	x.dial(connsWanted)
 }
 
