A far end is silent only while it has something to answer

The far end had answered; the answer was under way. Change: the silence restarts with the first attempt; a far end is given up only if it has not answered a health check either, which has at least 2.5 s. What is ended by inference is released at the far end too, on the next connection, in case it was wrong. Beside it: a health check finds its connection also if four are open already (nothing was dialled then, so a far end that hangs lost its calls after 9 s), and the extra connection for slow set-ups leaves one for it.

--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -68,7 +68,7 @@
 	core.Metrics.DialsFailed.Inc()
 	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused),
 		zap.Int("connections", len(x.conns)), zap.Int("attempts", len(x.attempts)), zap.Int("set-ups waiting", len(x.waiting)),
-		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.lastReceivedAt))
+		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.silentSince))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
 	if len(x.conns) > 0 {
@@ -118,7 +118,7 @@
 		core.Report(x.id, c.groupState) // it was received before the dial's result was handled
 	}
 	x.conns = append(x.conns, c)
-	x.lastReceivedAt, x.checkPending = core.Now(), false
+	x.restartSilence()
 	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
 		zap.Int("set-ups waiting", len(x.waiting)))
 	core.Metrics.LinksUp.Inc()
@@ -135,16 +135,14 @@
 	x.dial(connsWanted)
 }
 
-// openTestConn opens one more connection to an unresponsive far end. This keeps the established calls of a far end that only
-// hangs: its machine still accepts connections, while one to a machine that is gone or cut off is never opened.
+// openTestConn opens one more connection to an unresponsive far end, in the place of another one if there are too many. This keeps
+// the established calls of a far end that only hangs: its machine still accepts connections, while one to a machine that is gone or
+// cut off is never opened.
 func (x *farEnd) openTestConn() {
 	if len(x.conns) >= maxConnsPerFarEnd {
-		for _, c := range x.conns {
-			if c.pending == 0 { // no set-up is lost with it
-				c.link.Close()
-				break
-			}
-		}
+		c := x.leastLoaded()
+		c.link.Close()
+		c.tearDown()
 	}
 	x.dial(maxConnsPerFarEnd)
 }
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -31,11 +31,12 @@
 	stallTimeout        = 300 * time.Millisecond // a line incomplete, or a connection idle, for this long does not recover
 	extraConnDelay      = 400 * time.Millisecond // idle time with a set-up pending before an extra connection is opened
 	sweepInterval       = 250 * time.Millisecond
-	healthCheckDelay    = 2 * time.Second  // idle time of a far end with attempts or calls before a health check
-	unresponsiveTimeout = 5 * time.Second  // idle time that means failure: its calls must be released within 8 s of its end
-	maxQueuedLineBytes  = 256 << 10        // bytes of lines of one connection that were received and not handled yet
-	startResolution     = time.Millisecond // of the start times in the list, which are rounded down
-	floodRedialDelay    = time.Second      // before a connection to a far end that has flooded one
+	healthCheckDelay    = 2 * time.Second         // silence of a far end with attempts or calls before a health check
+	unresponsiveTimeout = 5 * time.Second         // silence that means failure: its calls must be released within 8 s of its end
+	checkTimeout        = 2500 * time.Millisecond // least time that a far end has to answer a health check
+	maxQueuedLineBytes  = 256 << 10               // bytes of lines of one connection that were received and not handled yet
+	startResolution     = time.Millisecond        // of the start times in the list, which are rounded down
+	floodRedialDelay    = time.Second             // before a connection to a far end that has flooded one
 )
 
 // FarEnds is the far-end side: it keeps connections open to the far ends in the far-end list.
@@ -61,8 +62,8 @@
 	lastDialAt     time.Duration             // start of the last one
 	redialAt       time.Duration             // no dial starts before this time
 	readyReported  bool                      // its group's state was received, or no connection could be opened
-	lastReceivedAt time.Duration             // time of the last line, or of the last connection opened
-	checkPending   bool                      // a health check was sent, and nothing received since
+	silentSince    time.Duration             // since then nothing was received or opened, although there was cause to
+	checkedAt      time.Duration             // time of a health check since which nothing was received; 0: there is none
 	attempts       map[string]*agent.Attempt // pending or established, by Call.ID
 	waiting        []*agent.Attempt          // attempts waiting for a connection
 	queuedReleases []release                 // releases waiting for a connection
@@ -135,7 +136,7 @@
 				continue
 			}
 			x = &farEnd{farEnds: f, id: e.Switch, attempts: map[string]*agent.Attempt{},
-				checkSentAt: map[string]time.Duration{}, lastReceivedAt: f.core.Now(),
+				checkSentAt: map[string]time.Duration{}, silentSince: f.core.Now(),
 				readyReported: e.ExchangeNumber == f.core.Settings.LocalExchange}
 			f.byID[e.Switch] = x
 		}
@@ -209,6 +210,29 @@
 	}
 }
 
+// endAttempts ends the attempts and calls that meet the condition. The list or a sign says that the far end has lost them; it is told
+// all the same, since otherwise they would stand there without a caller if that is wrong.
+func (x *farEnd) endAttempts(lost func(*agent.Attempt) bool) {
+	for a := range x.sortedAttempts() {
+		if lost(a) {
+			x.endAttempt(a, 0)
+		}
+	}
+}
+
+// endAttempt ends an attempt or call that is lost. One that was written may have reached the far end, whose answer may have been
+// lost: then its call stands there, and belongs to no connection. So a release follows it.
+func (x *farEnd) endAttempt(a *agent.Attempt, note uint32) {
+	l, core := a.Leg.(*attemptLeg), x.farEnds.core
+	x.removeAttempt(a)
+	if l.conn == nil || l.handle.Withdraw() {
+		core.Ended(a, tinbeam.ConnectFailed, note, nil, 0)
+		return
+	}
+	x.sendStop(a, farend.CauseNormal)
+	core.Ended(a, tinbeam.Reset, note, nil, farend.CauseReset)
+}
+
 // resetAttempts ends all attempts and calls that were sent before a time, or all of them if that time is now.
 func (x *farEnd) resetAttempts(before time.Duration) {
 	for a := range x.sortedAttempts() {
@@ -256,6 +280,9 @@
 		f.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
 		return
 	}
+	if len(x.attempts) == 0 && x.checkedAt == 0 {
+		x.restartSilence() // until now the far end had no cause to send anything
+	}
 	x.attempts[a.Call.ID] = a
 	if c := x.connFor(a); c != nil {
 		c.sendLaunch(a)
@@ -387,16 +414,8 @@
 		if l.conn != c || a.Established() {
 			continue
 		}
-		x.removeAttempt(a)
-		// Keeps a healthy far end in use: one broken connection says nothing about its load or health. If the process
-		// has died, the next connection is refused, which shows it.
-		if l.handle.Withdraw() { // none of it was written, so the far end never received it
-			core.Ended(a, tinbeam.ConnectFailed, tinbeam.NoteLinkLost, nil, 0)
-		} else {
-			// The far end may have answered, and the answer was lost: then its call stands there, and no connection.
-			x.sendStop(a, farend.CauseNormal)
-			core.Ended(a, tinbeam.Reset, tinbeam.NoteLinkLost, nil, farend.CauseReset)
-		}
+		// Keeps a healthy far end in use: one broken connection says nothing about its load or health.
+		x.endAttempt(a, tinbeam.NoteLinkLost)
 	}
 	c.repeatReleases()
 	x.dial(connsWanted)
@@ -406,7 +425,7 @@
 func (c *farConn) handleLine(m *farend.Message) {
 	x := c.farEnd
 	core := x.farEnds.core
-	x.lastReceivedAt, x.checkPending = core.Now(), false
+	x.restartSilence()
 	c.missedStates = 0
 	a := x.attempts[m.UID]
 	if e := x.farEnds.log.Check(zap.DebugLevel, m.Kind); e != nil {
@@ -496,29 +515,50 @@
 			delete(x.checkSentAt, uid)
 		}
 	}
-	idle := core.Now() - x.lastReceivedAt
-	if len(x.attempts) == 0 {
+	x.checkSilence()
+}
+
+// restartSilence counts the silence of the far end from now.
+func (x *farEnd) restartSilence() { x.silentSince, x.checkedAt = x.farEnds.core.Now(), 0 }
+
+// checkSilence examines a far end that has said nothing for a while although it has attempts or calls, or a health check to answer.
+func (x *farEnd) checkSilence() {
+	if len(x.attempts) == 0 && x.checkedAt == 0 {
 		return
 	}
+	now := x.farEnds.core.Now()
+	silent := now - x.silentSince
 	switch {
-	case idle > unresponsiveTimeout:
-		// A machine that is gone or cut off sends nothing, its connections stay open, and no new one could be opened.
-		x.farEnds.log.Warn("far end is unresponsive",
-			zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)), zap.Duration("silent", idle),
-			zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Bool("health check sent", x.checkPending))
-		core.Metrics.IdleLinks.Inc()
-		x.resetAttempts(core.Now())
-		x.closeConns()
-	case idle > healthCheckDelay && !x.checkPending:
-		x.checkPending = true
-		x.sendCheck()
-		x.openTestConn()
-	case idle > extraConnDelay && len(x.conns) < maxConnsPerFarEnd && x.pendingLongerThan(extraConnDelay):
+	case silent > unresponsiveTimeout && x.checkedAt != 0 && now-x.checkedAt >= checkTimeout:
+		x.giveUp(silent)
+	case silent > healthCheckDelay && x.checkedAt == 0:
+		x.startHealthCheck()
+	case silent > extraConnDelay && x.pendingLongerThan(extraConnDelay):
 		// All its connections may be stalled. On a new one the far end first sends its group's state, which shows it is alive.
-		x.dial(maxConnsPerFarEnd)
+		x.dial(maxConnsPerFarEnd - 1) // one is left for a health check
 	}
 }
 
+// startHealthCheck sends a health check, and opens a connection.
+func (x *farEnd) startHealthCheck() {
+	x.checkedAt = x.farEnds.core.Now()
+	x.sendCheck()
+	x.openTestConn()
+}
+
+// giveUp ends the attempts and calls at a far end that has neither answered a health check nor accepted a connection, and closes its
+// connections. A machine that is gone or cut off does that; its connections stay open, and no new one comes up.
+func (x *farEnd) giveUp(silent time.Duration) {
+	x.farEnds.log.Warn("far end is unresponsive",
+		zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)), zap.Duration("silent", silent),
+		zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Duration("health check sent before", x.farEnds.core.Now()-x.checkedAt))
+	x.farEnds.core.Metrics.IdleLinks.Inc()
+	x.restartSilence()
+	// The connections come first: a release must not be written to one that leads nowhere.
+	x.closeConns()
+	x.endAttempts(func(a *agent.Attempt) bool { return a.Leg.(*attemptLeg).conn != nil })
+}
+
 // oldestAttemptAge returns the age of the oldest attempt or call at the far end; 0 without any.
 func (x *farEnd) oldestAttemptAge() time.Duration {
 	oldest := x.farEnds.core.Now()
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -36,8 +37,13 @@
 	conns    chan *peerConn // accepted by the far end
 	lines    chan peerLine  // received by the far end
 	answers  chan string    // given to the caller
+
+	freeCircuits atomic.Int32 // of testCircuits, in the first state on a connection
 }
 
+// testCircuits is the size of the circuit group.
+const testCircuits = 10
+
 // peerConn is the far end's side of a connection.
 type peerConn struct{ net.Conn }
 
@@ -50,9 +56,13 @@
 
 func (c *peerConn) send(kind, body string, cause int) {
 	m := farend.Message{Kind: kind, UID: testCallID, Cause: cause, Body: body}
-	if kind == farend.Usage {
-		m.Meta = map[string]string{"load": "x0:10;x1:10"}
-	}
+	_, _ = c.Write(m.Append(nil))
+}
+
+// sendState sends the state of the circuit group.
+func (c *peerConn) sendState(free int) {
+	m := farend.Message{Kind: farend.Usage, UID: testCallID,
+		Meta: map[string]string{"load": fmt.Sprintf("x0:%d;x1:%d", free, testCircuits)}}
 	_, _ = c.Write(m.Append(nil))
 }
 
@@ -66,7 +76,10 @@
 	f.answers <- fmt.Sprint("released ", cause)
 }
 
-func newFarEndFixture(t *testing.T) *farEndFixture {
+func newFarEndFixture(t *testing.T) *farEndFixture { return newFarEndFixtureAt(t, agent.SystemClock()) }
+
+// newFarEndFixtureAt returns a fixture whose core has the given clock.
+func newFarEndFixtureAt(t *testing.T, clock func() time.Duration) *farEndFixture {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -74,10 +87,11 @@
 	settings := tinbeam.Settings{LocalExchange: 0, Replicas: 3, MaxAttempts: 4, MarksRedial: true, ReleaseDelay: testReleaseDelay,
 		ReportFields: []string{"idle", "circuits"}, Classes: []tinbeam.Class{{Name: "check", AnswerTarget: 8 * time.Second,
 			HardLimit: 20 * time.Second, Value: 1, Width: 1, RepeatPolicy: "free"}}}
-	loop := agent.NewLoop(agent.SystemClock())
+	loop := agent.NewLoop(clock)
 	core := agent.New(loop, settings, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
 	f := &farEndFixture{T: t, core: core, listener: ln, conns: make(chan *peerConn, 16), lines: make(chan peerLine, 1024),
 		answers: make(chan string, 16)}
+	f.freeCircuits.Store(testCircuits)
 	f.farEnds = NewFarEnds(core, zap.NewNop(), 500*time.Millisecond, func() {})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -105,13 +119,17 @@
 
 // accept accepts connections, sends the state of the group on each, and reads lines.
 func (f *farEndFixture) accept() {
+	f.acceptFrom(f.listener)
+}
+
+func (f *farEndFixture) acceptFrom(ln net.Listener) {
 	for {
-		raw, err := f.listener.Accept()
+		raw, err := ln.Accept()
 		if err != nil {
 			return
 		}
 		c := &peerConn{raw}
-		c.send(farend.Usage, "", 0)
+		c.sendState(int(f.freeCircuits.Load()))
 		f.conns <- c
 		go func() {
 			in := bufio.NewReader(raw)
