A refused connection proves nothing about what was set up before

Cause: dialFailed took a refusal for the end of the process, dropped the releases that waited for a connection and ended all calls. Change: a refusal ends only the set-ups that waited for a connection. Until the release of a lost attempt has been sent, and the release delay after it, the core holds back the next attempt of the call, at whichever far end it would run (heldattempt.go, attempts_held_total). A release that fails as a connection opens is kept for the next; one too many is counted (releases_dropped_total).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,6 +44,9 @@
 	Cancel(a *Attempt)             // before the answer; messages not yet written are withdrawn
 	Release(a *Attempt, cause int) // after the answer: releases the established call
 	Probe(id uint32)
+	// ReleasedAt returns when the release of an attempt that has ended was sent; 0 if it needed none. It reports false while the
+	// release cannot be sent: until then the attempt may be out.
+	ReleasedAt(a *Attempt) (at time.Duration, released bool)
 }
 
 // Hook receives the events of calls. Refuse is asked before the decision module and may refuse a call. See package plugin.
@@ -84,6 +87,7 @@
 	established   bool
 	attempt       *Attempt // the outstanding attempt, or that of the established call
 	lastAttempt   *Attempt // the latest attempt, also when it has ended
+	held          *heldAttempt
 	attempts      int
 	maxAttempts   int           // 0: no limit was given
 	notBefore     time.Duration // earliest time of the next attempt
@@ -113,6 +117,7 @@
 	Previous *Attempt      // the call's attempt before this one; nil: this is the first
 
 	try   int // index among the attempts of its call
+	side  FarEndSide
 	timer *Timer
 }
 
@@ -145,9 +150,11 @@
 	calls       map[uint32]*Call
 	farEnds     map[uint32]*farEnd
 	probeTimers map[uint32]*Timer
-	queued      []tinbeam.Event // events waiting to be passed to the decision module
-	notifying   bool            // an event is being handled
-	pending     int             // calls that are waiting for their final answer
+
+	heldAttempts map[uint32]*heldAttempt // by Call.ref
+	queued       []tinbeam.Event         // events waiting to be passed to the decision module
+	notifying    bool                    // an event is being handled
+	pending      int                     // calls that are waiting for their final answer
 }
 
 // farEnd is one entry of the far-end list and the side that serves it.
@@ -160,7 +167,8 @@
 func New(loop *Loop, settings tinbeam.Settings, seed uint64, memory int, m *metrics.Set, log *zap.Logger, hook Hook) *Core {
 	c := &Core{Loop: loop, Settings: settings, maxCalls: memory / 2 / bytesPerCall, Metrics: m, log: log, hook: hook,
 		controller: tinbeam.New(settings, seed),
-		calls:      map[uint32]*Call{}, farEnds: map[uint32]*farEnd{}, probeTimers: map[uint32]*Timer{}}
+		calls:      map[uint32]*Call{}, farEnds: map[uint32]*farEnd{}, probeTimers: map[uint32]*Timer{},
+		heldAttempts: map[uint32]*heldAttempt{}}
 	loop.OnPanic = c.ReportPanic
 	for _, k := range settings.Classes {
 		m.Class(k.Name) // exports the counters of the class at zero from the start
@@ -309,6 +317,9 @@
 			attempt := k.attempt
 			c.farEnds[attempt.Switch].side.Cancel(attempt)
 			c.Ended(attempt, tinbeam.Cancelled, 0, nil, 0)
+		} else if k != nil && k.held != nil && k.held.try == a.Try {
+			held := c.dropHeld(k)
+			c.notify(tinbeam.Outcome{Ref: k.ref, Try: a.Try, Switch: held.action.Switch, Code: tinbeam.Cancelled})
 		}
 	case tinbeam.Schedule:
 		c.After(a.After, func() { c.notify(tinbeam.TickDue{Handle: a.Handle}) })
@@ -373,6 +384,7 @@
 		c.detach(attempt)
 		c.farEnds[attempt.Switch].side.Cancel(attempt)
 	}
+	c.dropHeld(k)
 	delete(c.calls, k.ref)
 	if failed {
 		c.Metrics.Failed.Inc()
@@ -406,16 +418,27 @@
 	}
 	try := k.attempts
 	k.attempts++
-	f := c.farEnds[a.Switch]
-	notAttempted := func() {
-		c.notify(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.NotAttempted})
-	}
-	v := c.Metrics.Violations
-	if !invariant.Check(k.attempt == nil, v, "call %s has no other outstanding attempt", k.ID) ||
+	f, v := c.farEnds[a.Switch], c.Metrics.Violations
+	if !invariant.Check(k.attempt == nil && k.held == nil, v, "call %s has no other outstanding attempt", k.ID) ||
 		!invariant.Check(c.Now() >= k.notBefore, v, "call %s: the release delay has passed", k.ID) ||
 		!invariant.Check(k.maxAttempts == 0 || k.attempts <= k.maxAttempts, v, "call %s: the limit on attempts is kept", k.ID) ||
 		!invariant.Check(f != nil && f.entry.Mode == tinbeam.Ready, v, "far end %08x is ready", a.Switch) {
-		notAttempted()
+		c.notAttempted(k, a, try)
+		return
+	}
+	c.startAttempt(k, a, try)
+}
+
+// notAttempted tells the decision module that an attempt was not started.
+func (c *Core) notAttempted(k *Call, a tinbeam.Attempt, try int) {
+	c.notify(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.NotAttempted})
+}
+
+// startAttempt passes an attempt to its far-end side, or holds it back while the release of an earlier one of the call is due.
+func (c *Core) startAttempt(k *Call, a tinbeam.Attempt, try int) {
+	f := c.farEnds[a.Switch]
+	if f == nil || f.entry.Mode != tinbeam.Ready { // it is not ready any more
+		c.notAttempted(k, a, try)
 		return
 	}
 	left := k.deadline - answerMargin - c.Now()
@@ -426,7 +449,11 @@
 		c.notify(tinbeam.Outcome{Ref: k.ref, Try: try, Switch: a.Switch, Code: tinbeam.TimedOut})
 		return
 	}
-	attempt := &Attempt{Call: k, Switch: a.Switch, Timeout: left, try: try, SentAt: c.Now(), Previous: k.lastAttempt}
+	if at, sent := c.mayStartAt(k); !sent || at > c.Now() {
+		c.hold(k, a, try, left)
+		return
+	}
+	attempt := &Attempt{Call: k, Switch: a.Switch, Timeout: left, try: try, side: f.side, SentAt: c.Now(), Previous: k.lastAttempt}
 	k.attempt, k.lastAttempt = attempt, attempt
 	c.Metrics.Attempts.Inc()
 	if e := c.log.Check(zap.DebugLevel, "attempt started"); e != nil {
@@ -534,6 +561,7 @@
 		e.Write(zap.String("call", k.ID), zap.Int("tries", k.attempts), zap.Bool("attempt pending", attempt != nil))
 	}
 	c.notify(tinbeam.Withdrawn{Ref: k.ref})
+	c.dropHeld(k)
 	if attempt != nil {
 		c.detach(attempt)
 		c.farEnds[attempt.Switch].side.Cancel(attempt)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -19,6 +19,10 @@
 	record   []string
 	attempts []*Attempt
 	byID     map[string]*Call
+
+	// what the far-end side says of the release of every earlier attempt
+	releasedAt   time.Duration
+	releaseWaits bool
 }
 
 func (b *fixture) Answer(k *Call, d string) { b.record = append(b.record, "answer "+k.ID+" "+d) }
@@ -38,6 +42,9 @@
 func (b farEndSide) Cancel(a *Attempt)             { b.record = append(b.record, "cancel "+a.Call.ID) }
 func (b farEndSide) Release(a *Attempt, cause int) { b.record = append(b.record, "release "+a.Call.ID) }
 func (b farEndSide) Probe(id uint32)               { b.record = append(b.record, "probe") }
+func (b farEndSide) ReleasedAt(*Attempt) (time.Duration, bool) {
+	return b.releasedAt, !b.releaseWaits
+}
 
 func newFixture(hook Hook) *fixture {
 	b := &fixture{clock: time.Hour, byID: map[string]*Call{}}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,7 +50,7 @@
 	PushesOK, PushesFailed                                          *Counter
 	MemoryInUse, Goroutines                                         *Counter
 	StaleLines, AttemptsAmbiguous, LinksFlooded, ListFlooded        *Counter
-	MGCPDropped, LogDropped                                         *Counter
+	MGCPDropped, LogDropped, AttemptsHeld, ReleasesDropped          *Counter
 
 	all     []*Counter
 	mu      sync.Mutex
@@ -145,6 +145,8 @@
 	add(&s.StaleLines, "stale_lines_total", "lines from far ends about an earlier attempt of a call, which were ignored")
 	add(&s.AttemptsAmbiguous, "attempts_ambiguous_total",
 		"attempts given up since a release may have been theirs or an earlier attempt's")
+	add(&s.AttemptsHeld, "attempts_held_total", "attempts that waited since the release of an earlier one could not be sent yet")
+	add(&s.ReleasesDropped, "releases_dropped_total", "releases that were lost since too many waited for a connection to their far end")
 	add(&s.LinksFlooded, "links_flooded_total", "connections to far ends closed since lines came faster than they were handled")
 	add(&s.ListFlooded, "list_flooded_total", "connections to the change log closed since events came faster than they were handled")
 	add(&s.MGCPDropped, "mgcp_dropped_total", "MGCP datagrams dropped since they came faster than they were handled")
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -591,6 +591,9 @@
 	f.clear(leg.line, a.Call.ID, leg.connID, leg.create)
 }
 
+// ReleasedAt reports that a release is never kept back: a DLCX is sent at once, and again until the gateway answers it.
+func (f farEndSide) ReleasedAt(*agent.Attempt) (time.Duration, bool) { return 0, true }
+
 // Probe answers a load probe at once: MGCP has no command for it, and the front end knows the gateway's free lines.
 func (f farEndSide) Probe(id uint32) {
 	f.core.Probed(id, tinbeam.OK, 0, nil)
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -255,9 +255,10 @@
 		*n.last = a
 	}
 }
-func (unresponsive) Cancel(*agent.Attempt)       {}
-func (unresponsive) Release(*agent.Attempt, int) {}
-func (unresponsive) Probe(uint32)                {}
+func (unresponsive) Cancel(*agent.Attempt)                           {}
+func (unresponsive) Release(*agent.Attempt, int)                     {}
+func (unresponsive) Probe(uint32)                                    {}
+func (unresponsive) ReleasedAt(*agent.Attempt) (time.Duration, bool) { return 0, true }
 
 // A release whose connection has closed goes to a connection that brings calls, not to one of a health checker, which closes
 // it after the answer. It is resent on the next one until it is certain to have reached the callers.
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,7 +61,9 @@
 // errNotWanted reports a connection that came up after the far end had changed its address, had gone, or had enough connections.
 var errNotWanted = errors.New("the connection is not wanted any more")
 
-// dialFailed handles a connection that could not be opened. A refused one proves that the process and its calls are gone.
+// dialFailed handles a connection that could not be opened. A refused one proves that nothing ran on it, and no more: the process may
+// be gone, or hold all the connections that it accepts, and may not know yet that the network has reset them. So calls and releases
+// are kept until the silence has lasted too long, or the list tells of the end or a new start.
 func (x *farEnd) dialFailed(refused bool) {
 	core := x.farEnds.core
 	core.Metrics.DialsFailed.Inc()
@@ -71,19 +72,14 @@
 		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.silentSince))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
-	if len(x.conns) > 0 {
+	if !refused || len(x.conns) > 0 {
 		return
 	}
-	if refused {
-		for a := range x.sortedAttempts() {
-			if !slices.Contains(x.waiting, a) {
-				continue
-			}
-			x.removeAttempt(a)
-			core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
+	x.refused = true
+	for a := range x.sortedAttempts() {
+		if a.Leg.(*attemptLeg).conn == nil {
+			x.endAttempt(a, 0)
 		}
-		x.resetAttempts(core.Now())
-		x.queuedReleases = nil // the process has lost its calls
 	}
 }
 
@@ -118,14 +114,12 @@
 		core.Report(x.id, c.groupState) // it was received before the dial's result was handled
 	}
 	x.conns = append(x.conns, c)
+	x.checkForRestart(c.groupState)
 	x.restartSilence()
 	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
 		zap.Int("set-ups waiting", len(x.waiting)))
 	core.Metrics.LinksUp.Inc()
-	for _, r := range x.queuedReleases {
-		c.sendRelease(r)
-	}
-	x.queuedReleases = nil
+	x.sendQueuedReleases()
 	waiting := x.waiting
 	x.waiting = nil
 	for _, a := range waiting {
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -67,6 +67,8 @@
 	attempts       map[string]*agent.Attempt // pending or established, by Call.ID
 	waiting        []*agent.Attempt          // attempts waiting for a connection
 	queuedReleases []release                 // releases waiting for a connection
+	lostAt         time.Duration             // end of the last connection, if none is left
+	refused        bool                      // a connection was refused since then
 	checkSentAt    map[string]time.Duration  // send times of the check lines without an answer, by UID
 }
 
@@ -92,8 +94,10 @@
 	handle  link.SendHandle
 	expiry  *agent.Timer // runs while the attempt waits for a connection
 	ended   bool         // the far end has sent its end
-	// connection that the stop line of the attempt was sent on; nil: none was sent
-	stopConn *farConn
+	// connection that the stop line of the attempt was sent on, and when; nil: none was sent
+	stopConn     *farConn
+	releasedAt   time.Duration
+	releaseWaits bool // a stop line is to be sent and there is no connection
 }
 
 // NewFarEnds returns the far-end side. onReady is called once for each far end outside the local exchange, when the state of
@@ -405,6 +409,9 @@
 	core.Metrics.LinksLost.Inc()
 	x.farEnds.log.Debug("connection to far end lost", zap.String("far", x.addr), zap.Int("open", c.pending))
 	first := x.conns[0] == c
+	if len(x.conns) == 1 {
+		x.lostAt, x.refused = core.Now(), false
+	}
 	x.conns = slices.DeleteFunc(x.conns, func(o *farConn) bool { return o == c })
 	if first && len(x.conns) > 0 && x.conns[0].groupState != nil {
 		core.Report(x.id, x.conns[0].groupState) // from now on the group's states are taken from this connection
@@ -459,6 +466,7 @@
 		// no free circuit.
 		if c.groupState = m.Report(core.Settings.ReportFields); c.groupState != nil && len(x.conns) > 0 && x.conns[0] == c {
 			core.Report(x.id, c.groupState)
+			x.checkForRestart(c.groupState)
 		}
 		x.reportReady()
 		for _, o := range x.conns {
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,6 +64,34 @@
 	return launch.conn
 }
 
+// loseConnections resets the connections, and refuses others if the listener is closed before.
+func (f *steppedFixture) loseConnections(conns []*peerConn) {
+	for _, c := range conns {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	f.waitFor("the connections were not lost", false, func(x *farEnd) bool { return len(x.conns) == 0 })
+}
+
+// listenAgain accepts connections again.
+func (f *steppedFixture) listenAgain() {
+	f.Helper()
+	ln, err := net.Listen("tcp", f.listener.Addr().String())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { ln.Close() })
+	go f.acceptFrom(ln)
+	f.waitFor("no connection was opened", true, func(x *farEnd) bool { return len(x.conns) == connsWanted })
+}
+
+// nextWhileTimePasses returns the next line that the far end receives.
+func (f *steppedFixture) nextWhileTimePasses() peerLine {
+	f.Helper()
+	f.waitFor("no line was received", true, func(*farEnd) bool { return len(f.lines) > 0 })
+	return f.nextLine()
+}
+
 // Guards against a call that runs twice: the time before a set-up, when a far end had nothing to answer, is no silence.
 func TestFirstCallAfterQuietTime(t *testing.T) {
 	for _, quiet := range []time.Duration{4 * time.Second, 6500 * time.Millisecond, time.Minute} {
@@ -84,6 +113,79 @@
 	}
 }
 
+// Guards against a call that runs twice: a far end that holds all the connections it accepts refuses the next one, also when the
+// network has reset them. What was set up there stands, and its release is sent before the next attempt.
+func TestRefusedAtConnectionLimit(t *testing.T) {
+	for _, refuses := range []time.Duration{20 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		f := newSteppedFixture(t)
+		conns := f.open()
+		f.standingCall()
+		f.offer()
+		f.next(farend.Launch) // it is answered, and the answer is lost
+		f.freeCircuits.Add(-1)
+		f.listener.Close()
+		f.loseConnections(conns)
+		f.waitFor("no connection was refused", true, func(*farEnd) bool { return f.core.Metrics.DialsFailed.Value() > 0 })
+		f.advance(refuses)
+		if len(f.answers) > 0 {
+			t.Fatalf("refused for %v: the caller of the standing call got %q", refuses, <-f.answers)
+		}
+		f.listenAgain()
+		stop := f.nextWhileTimePasses()
+		if stop.m.Kind != farend.Stop || stop.m.UID != testCallID {
+			t.Fatalf("refused for %v: received %s of call %s, want the release of the lost set-up", refuses, stop.m.Kind, stop.m.UID)
+		}
+		launch := f.nextWhileTimePasses()
+		if launch.m.Kind != farend.Launch || launch.conn != stop.conn {
+			t.Errorf("refused for %v: received %s, on the connection of the release: %t", refuses, launch.m.Kind, launch.conn == stop.conn)
+		}
+		f.advance(unresponsiveTimeout + time.Second)
+		if len(f.answers) > 0 {
+			t.Errorf("refused for %v: the caller of the standing call got %q", refuses, <-f.answers)
+		}
+	}
+}
+
+// Guards against a call left standing towards its caller: the process of a far end has ended, and refuses connections.
+func TestRefusedForGood(t *testing.T) {
+	f := newSteppedFixture(t)
+	conns := f.open()
+	f.standingCall()
+	f.listener.Close()
+	f.loseConnections(conns)
+	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
+	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second {
+		t.Errorf("%v until the release", took)
+	}
+	if got := f.nextAnswer(); got != "released 41" {
+		t.Errorf("the caller got %q", got)
+	}
+	f.listenAgain() // it was not gone after all: the call is released there too
+	if stop := f.nextWhileTimePasses(); stop.m.Kind != farend.Stop || stop.m.UID != standingCallID {
+		t.Errorf("received %s of call %s", stop.m.Kind, stop.m.UID)
+	}
+}
+
+// Guards against a call left standing towards its caller: the process of a far end was replaced while connections were refused, and
+// the list does not tell yet. No circuit is taken there, so the call is gone.
+func TestReplacedWhileRefused(t *testing.T) {
+	f := newSteppedFixture(t)
+	conns := f.open()
+	f.standingCall()
+	f.listener.Close()
+	f.loseConnections(conns)
+	f.waitFor("no connection was refused", true, func(*farEnd) bool { return f.core.Metrics.DialsFailed.Value() > 0 })
+	f.freeCircuits.Store(testCircuits)
+	f.listenAgain()
+	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
+	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second {
+		t.Errorf("%v until the release", took)
+	}
+	if got := f.nextAnswer(); got != "released 41" {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // Guards against calls that are cut: a far end that hangs answers no health check, however long, but its machine accepts connections.
 func TestHangingFarEndKeepsItsCalls(t *testing.T) {
 	f := newSteppedFixture(t)
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -64,9 +64,32 @@
 			return
 		}
 	}
-	if len(x.queuedReleases) < maxQueuedReleases {
-		x.queuedReleases = append(x.queuedReleases, r)
+	r.leg.releaseWaits = true
+	if len(x.queuedReleases) >= maxQueuedReleases {
+		x.farEnds.core.Metrics.ReleasesDropped.Inc()
+		return
+	}
+	x.queuedReleases = append(x.queuedReleases, r)
+}
+
+// sendQueuedReleases sends the releases that wait for a connection, which has been opened.
+func (x *farEnd) sendQueuedReleases() {
+	if len(x.queuedReleases) == 0 {
+		return
 	}
+	queued := x.queuedReleases
+	x.queuedReleases = nil
+	for _, r := range queued {
+		x.sendRelease(r)
+	}
+	x.farEnds.core.ReleasesSent()
+}
+
+// ReleasedAt returns when the release of an attempt that has ended was sent; 0 if it needed none. It reports false while the release
+// waits for a connection: until then the far end may have answered, and its call may stand.
+func (f *FarEnds) ReleasedAt(a *agent.Attempt) (at time.Duration, released bool) {
+	l := a.Leg.(*attemptLeg)
+	return l.releasedAt, !l.releaseWaits
 }
 
 // sendRelease sends a release on the connection, and remembers it until the far end confirms it.
@@ -75,7 +98,7 @@
 		return false
 	}
 	r.sentAt = c.farEnd.farEnds.core.Now()
-	r.leg.stopConn = c
+	r.leg.stopConn, r.leg.releasedAt, r.leg.releaseWaits = c, r.sentAt, false
 	c.unconfirmed = append(slices.DeleteFunc(c.unconfirmed, func(o release) bool { return r.sentAt-o.sentAt >= confirmTime }), r)
 	if len(c.unconfirmed) > maxUnconfirmed {
 		c.unconfirmed = slices.Delete(c.unconfirmed, 0, 1)
