What the list ends at a far end is released there as well

Cause: an event 'gone', a new address or a new start ended attempts and calls towards their callers only, and closed the connections at once. Such an event comes late: another process may have the address already, and calls that this agent set up there since. An attempt that waited for a connection counted as sent to the earlier process although it was written to the present one, and its next attempt ran beside it. Change: a release goes out on the open connections, which are closed once it is written; at a new start only what was sent before it on a connection of before it is ended. Releases that wait for a connection to a far end that has gone are dropped, and no attempt waits for them any more.

--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -35,8 +35,8 @@
 	unresponsiveTimeout = 5 * time.Second         // silence that means failure: its calls must be released within 8 s of its end
 	checkTimeout        = 2500 * time.Millisecond // least time that a far end has to answer a health check
 	maxQueuedLineBytes  = 256 << 10               // bytes of lines of one connection that were received and not handled yet
-	startResolution     = time.Millisecond        // of the start times in the list, which are rounded down
 	floodRedialDelay    = time.Second             // before a connection to a far end that has flooded one
+	startResolution     = time.Millisecond        // of the start times in the list, which are rounded down
 )
 
 // FarEnds is the far-end side: it keeps connections open to the far ends in the far-end list.
@@ -183,24 +183,42 @@
 		}
 	}
 	if x.mode == tinbeam.Gone {
-		x.resetAttempts(x.farEnds.core.Now())
-		x.closeConns()
+		x.leaveAddress()
 		delete(x.farEnds.byID, x.id)
 		return
 	}
 	if x.addrChanged {
-		// Calls set up at the old address are lost with it, and the connections lead there.
 		x.addrChanged = false
-		x.resetAttempts(x.farEnds.core.Now())
-		x.closeConns()
+		x.leaveAddress()
 	}
 	// A restarted process has lost its earlier calls; calls set up after its start are its own.
-	if x.onlineSince > 0 {
-		x.resetAttempts(x.onlineSince + startResolution)
-	}
+	x.endAttempts(x.beforeStart)
 	x.dial(connsWanted)
 }
 
+// leaveAddress ends what was set up at the far end's address, and closes the connections, which lead there. Another process may have
+// the address already and calls of this agent on these connections: they are released there.
+func (x *farEnd) leaveAddress() {
+	x.endAttempts(func(*agent.Attempt) bool { return true })
+	conns := x.conns
+	x.conns = nil
+	for _, c := range conns {
+		c.closed = true
+		c.link.CloseAfterFlush()
+	}
+	x.dropQueuedReleases()
+}
+
+// beforeStart reports whether an attempt was sent to the process that was there before the present one. One that waited for a
+// connection may have been sent earlier, and written to the present process.
+func (x *farEnd) beforeStart(a *agent.Attempt) bool {
+	if x.onlineSince == 0 {
+		return false // it started long ago
+	}
+	c, start := a.Leg.(*attemptLeg).conn, x.onlineSince+startResolution
+	return c != nil && a.SentAt < start && c.connectedAt < start
+}
+
 // sortedAttempts yields the attempts at the far end in the order of their calls' IDs. Ending one of them may end others or start
 // new ones: only attempts that are there now and still there when their turn comes are yielded.
 func (x *farEnd) sortedAttempts() iter.Seq[*agent.Attempt] {
@@ -237,16 +255,6 @@
 	core.Ended(a, tinbeam.Reset, note, nil, farend.CauseReset)
 }
 
-// resetAttempts ends all attempts and calls that were sent before a time, or all of them if that time is now.
-func (x *farEnd) resetAttempts(before time.Duration) {
-	for a := range x.sortedAttempts() {
-		if a.SentAt < before || before == x.farEnds.core.Now() {
-			x.removeAttempt(a)
-			x.farEnds.core.Ended(a, tinbeam.Reset, 0, nil, farend.CauseReset)
-		}
-	}
-}
-
 // closeConns closes the connections. Their pending set-ups end when the closes are reported.
 func (x *farEnd) closeConns() {
 	for _, c := range slices.Clone(x.conns) {
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"tinbeam"
 	"tinbeam/internal/agent"
+	"tinbeam/internal/changelog"
 	"tinbeam/internal/farend"
 )
 
@@ -209,3 +211,25 @@
 		t.Errorf("the caller got %q", <-f.answers)
 	}
 }
+
+// Guards against a call that stands without a caller: one that the list says is lost with its process is released there as well, since
+// another process may have the address already, and the call.
+func TestListedEndReleasesAtTheFarEnd(t *testing.T) {
+	for name, change := range map[string]tinbeam.Entry{
+		"gone":      {Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Gone},
+		"new start": {Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready, OnlineSince: 2 * time.Hour},
+	} {
+		f := newSteppedFixture(t)
+		f.open()
+		carrier := f.standingCall()
+		f.onLoop(func() {
+			f.farEnds.ApplyList(2, tinbeam.ListDelta, []changelog.Entry{{Addr: f.listener.Addr().String(), Entry: change}})
+		})
+		if got := f.nextAnswer(); got != "released 41" {
+			t.Errorf("%s: the caller got %q", name, got)
+		}
+		if stop := f.next(farend.Stop); stop.conn != carrier || stop.m.UID != standingCallID {
+			t.Errorf("%s: released call %s", name, stop.m.UID)
+		}
+	}
+}
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -85,6 +85,15 @@
 	x.farEnds.core.ReleasesSent()
 }
 
+// dropQueuedReleases forgets the releases that wait for a connection, since what they would end is known to be gone.
+func (x *farEnd) dropQueuedReleases() {
+	for _, r := range x.queuedReleases {
+		r.leg.releaseWaits = false
+	}
+	x.queuedReleases = nil
+	x.farEnds.core.ReleasesSent()
+}
+
 // ReleasedAt returns when the release of an attempt that has ended was sent; 0 if it needed none. It reports false while the release
 // waits for a connection: until then the far end may have answered, and its call may stand.
 func (f *FarEnds) ReleasedAt(a *agent.Attempt) (at time.Duration, released bool) {
