A silent connection to the change log is kept while another one is tried

Cause: 2.3 s without a byte were taken for a dead connection, each time anew, so no connection lived long enough to bring what was late. Change: a silent connection is kept, four at most, while others are opened; once one of them brings something, the others are closed. An event that comes on two is applied once, by its number.

--- a/internal/platform/changelog_client.go
+++ b/internal/platform/changelog_client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 const (
 	changeLogIdleTimeout   = 2300 * time.Millisecond // the change log sends an empty frame every second
+	maxChangeLogConns      = 4                       // silent ones are kept while others are tried: what is sent on them may be late
 	frameTimeout           = 3500 * time.Millisecond // from the first byte of a frame to its last; its length may be spoilt
 	maxFrameTimeout        = time.Minute
 	changeLogDialTimeout   = time.Second
@@ -27,9 +29,9 @@
 	farEnds *FarEnds
 	log     *zap.Logger
 	addr    string
-	seq     uint64 // sequence number of the last event applied
-	conn    *changeLogConn
-	dialing *changeLogConn // the dial in progress; the result of an earlier dial is discarded
+	seq     uint64           // sequence number of the last event applied
+	conns   []*changeLogConn // oldest first; several only while none of them has brought anything for a time
+	dialing *changeLogConn   // the dial in progress; the result of an earlier dial is discarded
 
 	// time allowed for a frame; it grows with each frame that did not come whole in time, so that a slow one gets through at last
 	frameTimeout time.Duration
@@ -61,7 +63,7 @@
 	cl.seq = max(cl.seq, seq)
 	var sweep func()
 	sweep = func() {
-		cl.checkConn()
+		cl.checkConns()
 		cl.dial()
 		core.After(changeLogRetryInterval, sweep)
 	}
@@ -69,26 +71,42 @@
 	return cl
 }
 
-// checkConn closes a connection that is dead, although the kernel may report it as open: nothing is received on it, or a frame does
-// not become complete.
-func (cl *ChangeLogClient) checkConn() {
-	c := cl.conn
-	if c == nil {
-		return
+// checkConns looks for connections that something was received on, and closes those on which a frame does not become complete.
+func (cl *ChangeLogClient) checkConns() {
+	for _, c := range slices.Clone(cl.conns) {
+		if !slices.Contains(cl.conns, c) {
+			continue // another one has brought something
+		}
+		if c.received.Swap(false) {
+			c.aliveAt = cl.core.Now()
+			cl.closeOthers(c)
+		}
+		if c.link.StalledFor() > cl.frameTimeout {
+			cl.log.Info("change log: frame does not become complete", zap.Uint64("last event", cl.seq),
+				zap.Duration("allowed", cl.frameTimeout))
+			cl.frameTimeout = min(2*cl.frameTimeout, maxFrameTimeout)
+			c.link.Close()
+		}
 	}
-	if c.received.Swap(false) {
-		c.aliveAt = cl.core.Now()
+}
+
+// closeOthers closes the connections that were tried beside one that has brought something.
+func (cl *ChangeLogClient) closeOthers(alive *changeLogConn) {
+	for _, c := range cl.conns {
+		if c != alive {
+			c.link.Close()
+		}
 	}
-	switch {
-	case cl.core.Now()-c.aliveAt > changeLogIdleTimeout:
-		cl.log.Info("change log: connection is silent", zap.Uint64("last event", cl.seq))
-		c.link.Close()
-	case c.link.StalledFor() > cl.frameTimeout:
-		cl.log.Info("change log: frame does not become complete", zap.Uint64("last event", cl.seq),
-			zap.Duration("allowed", cl.frameTimeout))
-		cl.frameTimeout = min(2*cl.frameTimeout, maxFrameTimeout)
-		c.link.Close()
+	cl.conns = append(cl.conns[:0], alive)
+}
+
+// silentFor returns how long nothing has been received on any connection.
+func (cl *ChangeLogClient) silentFor() time.Duration {
+	aliveAt := time.Duration(0)
+	for _, c := range cl.conns {
+		aliveAt = max(aliveAt, c.aliveAt)
 	}
+	return cl.core.Now() - aliveAt
 }
 
 func (cl *ChangeLogClient) apply(e changelog.Event, kind tinbeam.ListKind) {
@@ -105,17 +123,26 @@
 		return
 	}
 	cl.addr, cl.dialing = addr, nil
-	if c := cl.conn; c != nil {
-		cl.conn = nil
+	for _, c := range cl.conns {
 		c.link.Close()
 	}
+	cl.conns = nil
 	cl.dial()
 }
 
+// dial opens a connection if there is none, or if those there are stay silent. The kernel may report a dead connection as open, so
+// another one is tried; but what is sent on a silent one may only be late, so it is kept as long as there are not too many.
 func (cl *ChangeLogClient) dial() {
-	if cl.addr == "" || cl.conn != nil || cl.dialing != nil {
+	if cl.addr == "" || cl.dialing != nil || len(cl.conns) > 0 && cl.silentFor() <= changeLogIdleTimeout {
 		return
 	}
+	if len(cl.conns) > 0 {
+		cl.log.Info("change log: connection is silent", zap.Uint64("last event", cl.seq), zap.Int("connections", len(cl.conns)))
+	}
+	if len(cl.conns) >= maxChangeLogConns {
+		cl.conns[0].link.Close()
+		cl.conns = slices.Delete(cl.conns, 0, 1)
+	}
 	c := &changeLogConn{client: cl}
 	cl.dialing = c
 	addr := cl.addr
@@ -141,7 +168,8 @@
 		// The connection broke before the dial's result was handled. Without this case it would be kept as if it were open.
 		cl.core.Metrics.DialsFailed.Inc()
 	default:
-		c.link, cl.conn, c.aliveAt = l, c, cl.core.Now()
+		c.link, c.aliveAt = l, cl.core.Now()
+		cl.conns = append(cl.conns, c)
 		cl.core.Metrics.ListReconnects.Inc()
 		cl.log.Info("change log: connected", zap.String("addr", cl.addr), zap.Uint64("last event", cl.seq))
 		l.Send(changelog.ResumeRequest(cl.seq), nil)
@@ -176,7 +204,7 @@
 
 func (c *changeLogConn) handleEvent(e *changelog.Event) {
 	cl := c.client
-	if cl.conn != c {
+	if !slices.Contains(cl.conns, c) {
 		return
 	}
 	cl.frameTimeout = frameTimeout
@@ -200,10 +228,10 @@
 func (c *changeLogConn) Closed(*link.Conn) {
 	c.client.core.Post(func() {
 		c.closed = true
-		if c.client.conn == c {
+		if i := slices.Index(c.client.conns, c); i >= 0 {
 			c.client.log.Info("change log: connection lost", zap.Uint64("last event", c.client.seq),
 				zap.Duration("quiet", c.client.core.Now()-c.aliveAt))
-			c.client.conn = nil
+			c.client.conns = slices.Delete(c.client.conns, i, i+1)
 			c.client.dial()
 		}
 	})
--- a/internal/platform/changelog_client_test.go
+++ b/internal/platform/changelog_client_test.go
@@ -120,3 +120,20 @@
 		t.Errorf("the event was applied after %v", took)
 	}
 }
+
+// Guards against drains that an agent never learns of: what the change log sends may be late by longer than a connection may be silent.
+func TestLateChangeLog(t *testing.T) {
+	for _, late := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		t.Run(late.String(), func(t *testing.T) {
+			t.Parallel()
+			addr := changeLogServer(t, func(c net.Conn) {
+				time.Sleep(late)
+				_, _ = c.Write(deltaFrame(1))
+				_, _ = io.Copy(io.Discard, c)
+			})
+			if took := appliedAfter(t, addr); took > toldAtLatest {
+				t.Errorf("the event was applied after %v", took)
+			}
+		})
+	}
+}
