The rig draws quiet times and refused connections, and judges calls that stand

Change: plans may hold a time without set-ups of 4 to 8 s, a loss of all connections of a far end under a set-up which it notices up to 1.5 s later and accepts no others until then, and far ends that hold one or two connections. An answered attempt is out until its call has ended or was released. Two rules are new: a call that stands without a caller is released at its far end within 8 s, and a call that stands is not released towards its caller. TestCheck has records just within and beyond each new rule.

--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -50,6 +50,7 @@
 	requests    map[string]*request
 	acceptsNew  bool // the front sends new connections to the agent
 	callersStop bool // no further requests
+	quietUntil  time.Time
 }
 
 // traffic describes what the callers of one agent do.
@@ -99,6 +100,19 @@
 	c.callersStop = true
 }
 
+// pause keeps all callers from sending set-ups for a while.
+func (c *crowd) pause(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quietUntil = time.Now().Add(d)
+}
+
+func (c *crowd) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.quietUntil)
+}
+
 func (c *crowd) stopped() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -156,7 +170,7 @@
 			c.drainSession(conn)
 			return true
 		}
-		if wait < time.Second {
+		if wait < time.Second && !c.quiet() {
 			c.newCall(conn, false)
 			lastCall = time.Now()
 		} else if time.Since(lastCall) > idleCloseTime && !conn.busy() {
--- a/internal/faultrig/checker.go
+++ b/internal/faultrig/checker.go
@@ -21,6 +21,8 @@
 	DrainedFarEnd  Rule = "nothing is sent to a drained or removed far end"
 	ReleaseInTime  Rule = "a release reaches the other side in time"
 	HangupInTime   Rule = "a caller's release reaches the far end"
+	HasCaller      Rule = "a call that stands at a far end without a caller is released there"
+	NotCut         Rule = "a call that stands is not released towards its caller"
 	MemoryLimit    Rule = "memory stays under the limit"
 	DescriptorsMax Rule = "descriptors stay under the limit"
 	ProcessAlive   Rule = "no process ends by itself"
@@ -91,6 +93,8 @@
 		c.checkAnswers(id)
 		c.checkRelease(id)
 		c.checkHangup(id)
+		c.checkHasCaller(id)
+		c.checkNotCut(id)
 	}
 	c.checkDrains()
 	c.checkProcesses()
@@ -108,7 +112,7 @@
 }
 
 // attemptIntervals returns the times during which the attempts of a call were out: from the complete arrival at a far end
-// until the far end writes the end, or the agent gives the attempt up.
+// until the far end writes the end, or the agent gives the attempt up. One that was answered is out until its call has ended.
 func (c *checker) attemptIntervals(call string) []attemptInterval {
 	var intervals []attemptInterval
 	events := c.byCall[call]
@@ -117,12 +121,10 @@
 			continue
 		}
 		interval := attemptInterval{farEnd: e.FarEnd, from: e.At, till: c.end + 1} // still out at the end
+		answered := slices.ContainsFunc(events[i:], func(later Event) bool { return isAnswer(later) && sameAttempt(later, e) })
+		written := writtenBefore(events[:i+1], e)
 		for _, later := range events {
-			// The set-up may arrive after it was given up, so the whole record of its connection counts.
-			ended := later.Kind == AttemptEnded && later.At >= e.At
-			givenUp := later.Kind == AttemptGivenUp && later.At >= writtenBefore(events[:i+1], e)
-			sameConnection := later.Connection == e.Connection || later.Connection == anyConnection
-			if later.FarEnd == e.FarEnd && sameConnection && (ended || givenUp) {
+			if sameAttempt(later, e) && endsAttempt(later, e.At, written, answered) {
 				interval.till = min(interval.till, later.At)
 			}
 		}
@@ -133,6 +135,28 @@
 	return intervals
 }
 
+// sameAttempt reports whether an event of the call may concern the attempt that arrived.
+func sameAttempt(e, arrived Event) bool {
+	return e.FarEnd == arrived.FarEnd && (e.Connection == arrived.Connection || e.Connection == anyConnection)
+}
+
+func isAnswer(e Event) bool { return e.Kind == AttemptEnded && e.Note == farend.Running }
+
+// endsAttempt reports whether an event ends an attempt that was written and arrived at these times. The set-up may arrive after it was
+// given up, so the whole record of its connection counts. A call that stands belongs to no connection: the end of one gives up only
+// what was never answered.
+func endsAttempt(e Event, arrived, written time.Duration, answered bool) bool {
+	switch e.Kind {
+	case AttemptEnded:
+		return !isAnswer(e) && e.At >= arrived
+	case CallEnded, AgentReleased:
+		return e.At >= arrived
+	case AttemptGivenUp:
+		return e.At >= written && (!answered || e.Connection == anyConnection)
+	}
+	return false
+}
+
 // writtenBefore returns when the set-up that arrived was written, or its arrival if that is not known.
 func writtenBefore(events []Event, arrived Event) time.Duration {
 	for i := len(events) - 1; i >= 0; i-- {
--- a/internal/faultrig/checker_test.go
+++ b/internal/faultrig/checker_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"tinbeam/internal/farend"
 )
 
 const ms = time.Millisecond
@@ -45,6 +47,10 @@
 	ended := func(t time.Duration, cause int64) Event {
 		return at(t, Event{Kind: AttemptEnded, Call: "c", FarEnd: "f", Connection: 1, Value: cause})
 	}
+	answered := func(t time.Duration) Event {
+		return at(t, Event{Kind: AttemptEnded, Call: "c", FarEnd: "f", Connection: 1, Note: farend.Running})
+	}
+	lost := at(10*ms, Event{Kind: DescribedBy, Call: "c", FarEnd: "f", Note: "d"})
 	refused := at(50*ms, Event{Kind: FinalAnswer, Call: "c", Agent: "n", Value: statusUnavailable})
 	hungUp := at(time.Second, Event{Kind: HangupHeard, Call: "c", Agent: "n"})
 	agentReleased := func(t time.Duration) Event { return at(t, Event{Kind: AgentReleased, Call: "c", FarEnd: "f"}) }
@@ -61,6 +67,25 @@
 			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(2*ms, 1)}, setUp(3*ms, "g", 2))},
 		{"release of another connection", OneAttempt, true,
 			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(9*ms, 3)}, setUp(10*ms, "g", 2))},
+		{"second attempt while the call of the first stands", OneAttempt, true,
+			slices.Concat(setUp(ms, "f", 1), []Event{answered(5 * ms)}, setUp(10*ms, "g", 2))},
+		{"second attempt after the connection of a standing call", OneAttempt, true,
+			slices.Concat(setUp(ms, "f", 1), []Event{answered(5 * ms), gaveUp(6*ms, 1)}, setUp(10*ms, "g", 2))},
+		{"second attempt after an answer to a closed connection", OneAttempt, true,
+			slices.Concat(setUp(ms, "f", 1), []Event{gaveUp(4*ms, 1), answered(5 * ms)}, setUp(10*ms, "g", 2))},
+		{"second attempt after the release of the first", OneAttempt, false,
+			slices.Concat(setUp(ms, "f", 1), []Event{answered(5 * ms), gaveUp(9*ms, anyConnection)}, setUp(10*ms, "g", 2))},
+		{"second attempt after the end of the first call", OneAttempt, false, slices.Concat(setUp(ms, "f", 1),
+			[]Event{answered(5 * ms), at(9*ms, Event{Kind: CallEnded, Call: "c", FarEnd: "f", Connection: 1})}, setUp(10*ms, "g", 2))},
+		{"call without a caller", HasCaller, true, []Event{taken, lost, agentReleased(8061 * ms), end}},
+		{"call without a caller released", HasCaller, false, []Event{taken, lost, agentReleased(8060 * ms), end}},
+		{"call cut", NotCut, true, append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), heard(time.Second), callEnded)},
+		{"call cut after a change of the list", NotCut, false,
+			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), drained, told(1010*ms), heard(1100*ms), callEnded)},
+		{"call cut before the agent is told of a change", NotCut, true,
+			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), drained, heard(1100*ms), told(1110*ms), callEnded)},
+		{"call released after its end", NotCut, false,
+			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), callEnded, heard(2100*ms))},
 		{"sent again after a reset", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 0)}, setUp(10*ms, "g", 2))},
 		{"sent again after an error", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 17)}, setUp(10*ms, "g", 2))},
 		{"sent again after a full one", SingleShot, false, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 34)}, setUp(10*ms, "g", 2))},
--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		if a.established {
-			f.recorder.Add(Event{Kind: AgentReleased, FarEnd: f.name(), Call: a.call})
+			f.recorder.Add(Event{Kind: AgentReleased, FarEnd: f.name(), Call: a.call, Connection: a.conn.id})
 		} else {
 			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: "given up"})
 		}
@@ -253,7 +253,7 @@
 		return
 	}
 	f.remove(a)
-	f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Note: a.description})
+	f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: a.description})
 	line := &farend.Message{Kind: farend.Stop, UID: a.call, Cause: farend.CauseNormal}
 	conns := slices.Clone(f.conns)
 	if i := slices.Index(conns, a.conn); i > 0 {
@@ -308,7 +308,7 @@
 	defer f.mu.Unlock()
 	for a := range f.attempts {
 		if a.established {
-			f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Note: a.description})
+			f.recorder.Add(Event{Kind: CallEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: a.description})
 		} else {
 			f.recorder.Add(Event{Kind: AttemptEnded, FarEnd: f.name(), Call: a.call, Connection: a.conn.id, Note: "died"})
 		}
--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -43,6 +43,11 @@
 	StepReload  StepKind = "reload"
 	StepRestart StepKind = "restart"
 	StepCrowd   StepKind = "crowd"
+
+	// callers send nothing for a while, so that far ends have nothing to say
+	StepQuiet StepKind = "quiet"
+	// all connections to a far end are lost under a set-up; the far end notices later, and accepts no others until then
+	StepLoseLinks StepKind = "lose links"
 )
 
 // Step is one trouble of a run.
@@ -90,6 +95,8 @@
 	plan.addFarEndFaults(d)
 	plan.addDiscoveryFaults(d)
 	plan.addSignals(d)
+	plan.addQuietTime(d)
+	plan.addLostLinks(d)
 	if d.Float64() < 0.3 {
 		plan.add(d, Step{Kind: StepCrowd, Site: d.IntN(plan.Agents), Repeated: []int{30, 50, 150}[d.IntN(3)],
 			Lasts: d.between(time.Second, 3*time.Second)})
@@ -133,6 +140,27 @@
 	}
 }
 
+// addQuietTime adds a time without set-ups, which is longer than a far end may be silent, and makes the run longer by it.
+func (p *Plan) addQuietTime(d draw) {
+	if d.Float64() < 0.5 {
+		return
+	}
+	quiet := Step{At: d.between(warmUp, p.Duration/2), Kind: StepQuiet, Site: everySite, Lasts: d.between(4*time.Second, 8*time.Second)}
+	p.Duration += quiet.Lasts
+	p.add(d, quiet)
+}
+
+// addLostLinks adds losses of all connections to a far end under a set-up, whose answer may be lost.
+func (p *Plan) addLostLinks(d draw) {
+	for range d.IntN(4) {
+		p.add(d, Step{Kind: StepLoseLinks, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(10*time.Millisecond, 1500*time.Millisecond)})
+	}
+	if d.Float64() < 0.3 {
+		p.add(d, Step{Kind: StepLinkFault, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(time.Second, 4*time.Second),
+			Fault: linkFault{MaxConns: 1 + d.IntN(2)}})
+	}
+}
+
 func (p *Plan) addFarEndFaults(d draw) {
 	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood, StepReplace, StepReplace}
 	for range 1 + d.IntN(4) {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -28,6 +28,7 @@
 	Doubled      time.Duration // each answer is passed on again after at most this
 	Spoilt       float64       // share of the answers that are spoilt
 	Delayed      time.Duration // answers are passed on late, by at most this
+	MaxConns     int           // connections held at most, others are refused; 0: no limit
 	SlowRead     time.Duration // what the agent writes is read a little at a time, with pauses of at most this
 }
 
@@ -43,6 +44,11 @@
 	listener net.Listener
 	fault    linkFault
 	links    []*proxyLink
+
+	listening, stopped bool
+	// Lost connections that the far end has not noticed, and since which it accepts no others; nil: there are none.
+	unnoticed chan struct{}
+	loseFor   time.Duration // the next set-up loses all connections, for so long unnoticed; 0: it does not
 }
 
 // proxyLink is one connection through a proxy.
@@ -76,7 +82,7 @@
 		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), acceptBacklog) })
 	}
 	p.mu.Lock()
-	p.listener, p.port = ln, ln.Addr().(*net.TCPAddr).Port
+	p.listener, p.port, p.listening, p.stopped = ln, ln.Addr().(*net.TCPAddr).Port, true, false
 	p.mu.Unlock()
 	go p.accept(ln)
 	return nil
@@ -104,9 +110,88 @@
 // setFault replaces the present fault.
 func (p *proxy) setFault(fault linkFault) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.fault = fault
 	p.changed.Broadcast()
+	p.mu.Unlock()
+	p.adjustListening()
+}
+
+// adjustListening closes the socket while the far end holds all the connections that it accepts, and opens it again afterwards.
+func (p *proxy) adjustListening() {
+	p.mu.Lock()
+	full := p.fault.MaxConns > 0 && len(p.links) >= p.fault.MaxConns
+	wanted := !p.stopped && p.unnoticed == nil && !full
+	open, shut := wanted && !p.listening, !wanted && p.listening
+	if shut {
+		_ = p.listener.Close()
+	}
+	p.listening = wanted
+	p.mu.Unlock()
+	if open {
+		if err := p.listen(); err != nil {
+			p.mu.Lock()
+			p.listening = false
+			p.mu.Unlock()
+			p.recorder.Add(Event{Kind: FaultInjected, Note: "the rig failed: " + err.Error()})
+		}
+	}
+}
+
+// loseUnderSetUp loses all connections a moment after the next set-up, without the far end's notice for a while.
+func (p *proxy) loseUnderSetUp(unnoticedFor time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseFor = unnoticedFor
+}
+
+// setUpPassed loses the connections if loseUnderSetUp asks for it.
+func (p *proxy) setUpPassed() {
+	p.mu.Lock()
+	lasts := p.loseFor
+	p.loseFor = 0
+	p.mu.Unlock()
+	if lasts > 0 {
+		time.AfterFunc(p.random(2*setUpTime), func() { p.loseUnnoticed(lasts) })
+	}
+}
+
+// loseUnnoticed resets the agent's side of all connections. The far end goes on holding its side, and accepts no others, until it
+// notices after a while.
+func (p *proxy) loseUnnoticed(lasts time.Duration) {
+	p.mu.Lock()
+	if p.unnoticed != nil || p.stopped {
+		p.mu.Unlock()
+		return
+	}
+	noticed := make(chan struct{})
+	p.unnoticed = noticed
+	links := slices.Clone(p.links)
+	p.mu.Unlock()
+	p.recorder.Add(Event{Kind: FaultInjected, FarEnd: p.farEnd.name(), Note: fmt.Sprintf("%d connections lost, unnoticed for %v", len(links), lasts)})
+	p.adjustListening()
+	for _, l := range links {
+		resetConn(l.agent)
+	}
+	time.AfterFunc(lasts, func() {
+		p.mu.Lock()
+		p.unnoticed = nil
+		p.mu.Unlock()
+		close(noticed)
+		for _, l := range links {
+			l.reset()
+		}
+		p.adjustListening()
+	})
+}
+
+// waitUntilNoticed blocks while the far end does not know that its connections were lost.
+func (p *proxy) waitUntilNoticed() {
+	p.mu.Lock()
+	noticed := p.unnoticed
+	p.mu.Unlock()
+	if noticed != nil {
+		<-noticed
+	}
 }
 
 func (p *proxy) currentFault() linkFault {
@@ -138,6 +223,7 @@
 func (p *proxy) stop() {
 	p.mu.Lock()
 	ln := p.listener
+	p.listening, p.stopped = false, true
 	p.mu.Unlock()
 	_ = ln.Close()
 	p.resetAll()
@@ -167,6 +253,7 @@
 	p.mu.Lock()
 	p.links = append(p.links, l)
 	p.mu.Unlock()
+	p.adjustListening()
 	go l.carryAnswers()
 	l.forward(lines)
 }
@@ -196,6 +283,7 @@
 	l.closed = true
 	p.links = slices.DeleteFunc(p.links, func(o *proxyLink) bool { return o == l })
 	p.mu.Unlock()
+	defer p.adjustListening()
 	if reset {
 		resetConn(l.agent)
 		resetConn(l.farEnd)
@@ -287,23 +375,30 @@
 			break
 		}
 		fault := l.proxy.currentFault()
-		if fault.ResetStarted > 0 && bytes.Contains(line, []byte(`"launch"`)) {
+		if !bytes.Contains(line, []byte(`"launch"`)) {
+			continue
+		}
+		l.proxy.setUpPassed()
+		if fault.ResetStarted > 0 {
 			time.AfterFunc(l.random(fault.ResetStarted), l.reset)
 		}
 	}
 	l.proxy.waitWhileSilent()
+	l.proxy.waitUntilNoticed()
 	l.end(false)
 	for range lines { // the reader must not block
 	}
 }
 
 // random returns a random duration below limit.
-func (l *proxyLink) random(limit time.Duration) time.Duration {
-	l.proxy.mu.Lock()
-	defer l.proxy.mu.Unlock()
-	return time.Duration(l.proxy.rng.Int64N(int64(limit) + 1))
+func (p *proxy) random(limit time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.rng.Int64N(int64(limit) + 1))
 }
 
+func (l *proxyLink) random(limit time.Duration) time.Duration { return l.proxy.random(limit) }
+
 func (l *proxyLink) chance(share float64) bool {
 	l.proxy.mu.Lock()
 	defer l.proxy.mu.Unlock()
@@ -345,6 +440,7 @@
 			})
 		}
 	}
+	l.proxy.waitUntilNoticed()
 	l.end(l.chance(0.5))
 }
 
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -291,6 +291,10 @@
 		a.reload(s.Repeated)
 	case StepRestart:
 		a.restart(s.Repeated, s.Lasts)
+	case StepQuiet:
+		a.crowd.pause(s.Lasts)
+	case StepLoseLinks:
+		a.proxies[s.FarEnd].loseUnderSetUp(s.Lasts)
 	case StepCrowd:
 		a.playCrowd(plan, s.Repeated, s.Lasts)
 	}
