Releases are written to far ends before the process ends

Cause: at the end of a shutdown the connections to far ends were closed at once, with what was queued on them, and releases that waited for a connection were not waited for: a call that its caller had just released went on at its far end. Change: the connections are closed once what is queued is written; the process does not end early while a release waits for a connection. Its latest end is unchanged. Result: TestReleaseBeforeTheEndOfTheProcess failed before ('no line was received') and passes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -310,7 +310,7 @@
 }
 
 // Shutdown shuts the agent down in an orderly way. At first it still accepts calls, because calls in transit arrive until the
-// callers have noticed. The agent ends when no call is pending or established, and in any case before SIGKILL, which comes no
+// callers have noticed. The agent ends when no call is pending or established and no release waits for a connection to a far end, and in any case before SIGKILL, which comes no
 // earlier than 0.7 s after the longest deadline. Before that it refuses new calls. The connections to callers and to far ends
 // are closed together: otherwise the agent could accept a request that it can no longer answer, or receive a release that it
 // can no longer pass on.
@@ -334,7 +334,7 @@
 			}
 			var poll func()
 			poll = func() {
-				if a.core.OpenCalls() == 0 && a.callers.OpenCalls() == 0 {
+				if a.core.OpenCalls() == 0 && a.callers.OpenCalls() == 0 && a.farEnds.WaitingReleases() == 0 {
 					a.closeAll()
 					return
 				}
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -118,12 +118,23 @@
 	return f
 }
 
-// Close closes all connections permanently. Calls that end from now on are reported to the next process that connects.
+// Close closes all connections permanently, once the releases on them are written. Calls that end from now on are reported to the next
+// process that connects.
 func (f *FarEnds) Close() {
 	f.closed = true
 	for _, id := range slices.Sorted(maps.Keys(f.byID)) {
-		f.byID[id].closeConns()
+		for _, c := range f.byID[id].conns {
+			c.link.CloseAfterFlush()
+		}
+	}
+}
+
+// WaitingReleases returns how many releases wait for a connection to their far end.
+func (f *FarEnds) WaitingReleases() (n int) {
+	for _, x := range f.byID {
+		n += len(x.queuedReleases)
 	}
+	return n
 }
 
 // ApplyList applies a change-log event to the far ends and passes it on to the core.
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -463,6 +463,20 @@
 	}
 }
 
+// Guards against calls left standing at a far end: a release that is queued when the process ends is still written.
+func TestReleaseBeforeTheEndOfTheProcess(t *testing.T) {
+	f := newFarEndFixture(t)
+	f.open()
+	k := f.offer()
+	f.next(farend.Launch).conn.send(farend.Running, "v=0 first", 0)
+	f.nextAnswer()
+	f.onLoop(func() {
+		f.core.Hangup(k, farend.CauseNormal)
+		f.farEnds.Close()
+	})
+	f.next(farend.Stop)
+}
+
 // A release that the far end has confirmed is not sent again, nor is one that another attempt of the call has followed.
 func TestConfirmedReleaseIsNotRepeated(t *testing.T) {
 	f := newFarEndFixture(t)
