A gateway's lines take no calls before the DLCX of the start is answered

Cause: the DLCX for all lines is sent until it is answered, for 20 s at most, and the lines counted as free meanwhile. That a DLCX is repeated proves that the gateway may not have executed it yet. Change: the lines are free once it is answered or given up. A caller who lifts the receiver before hears the dial tone then.

--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -62,6 +62,7 @@
 	onlineSince time.Duration
 	delayTimer  *agent.Timer // runs until the end of the restart delay that the gateway announced
 	lines       []*line
+	clearing    bool // the DLCX for connections of an earlier start is pending: it would delete later ones too
 }
 
 // line is the state of one endpoint. It has at most one call at a time, either as the caller or as the called side.
@@ -72,6 +73,7 @@
 	called   *calledLeg
 	closing  bool // a DLCX is pending; the line is not free until the response arrives
 	requests notificationRequests
+	offHook  bool // a caller has lifted the receiver while the gateway is being cleared, and waits for the dial tone
 }
 
 // callerLeg is the gateway's side of a call that comes from the gateway.
@@ -102,7 +104,7 @@
 		rng: rand.New(rand.NewPCG(seed, 0x36c9))}
 	f.tx = newTransactions(core.Loop, core.Metrics, f.rng.Uint32(), send, f.handleCommand)
 	for _, g := range config.Gateways {
-		gw := &gateway{Gateway: g, mode: tinbeam.Ready}
+		gw := &gateway{Gateway: g, mode: tinbeam.Ready, clearing: true}
 		gw.addr, _ = netip.ParseAddrPort(g.Address) // validated when the operator's file was read
 		for _, n := range g.Lines {
 			gw.lines = append(gw.lines, &line{gw: gw, name: n + "@" + g.Name})
@@ -112,17 +114,28 @@
 	}
 	f.updateFarEnds(f.gateways...)
 	for _, gw := range f.gateways {
-		// The agent starts without calls, so connections that a gateway still has from an earlier run of the agent are
-		// deleted.
-		f.tx.request(gw.addr, &Message{Verb: "DLCX", Endpoint: "*@" + gw.Name}, func(*Message) {
-			for _, l := range gw.lines {
-				f.requestOffHook(l)
-			}
-		})
+		f.clearGateway(gw)
 	}
 	return f
 }
 
+// clearGateway makes a gateway delete the connections left from an earlier run of the agent, which starts without calls. The DLCX is sent
+// again until it is answered, and would delete whatever there is then, so the lines take no calls before.
+func (f *FrontEnd) clearGateway(gw *gateway) {
+	f.tx.request(gw.addr, &Message{Verb: "DLCX", Endpoint: "*@" + gw.Name}, func(*Message) {
+		gw.clearing = false
+		f.reportFreeLines(gw)
+		for _, l := range gw.lines {
+			if l.offHook {
+				l.offHook = false
+				f.handleOffHook(l)
+			} else {
+				f.requestOffHook(l)
+			}
+		}
+	})
+}
+
 // HandleDatagram handles a datagram that was received from an address.
 func (f *FrontEnd) HandleDatagram(from netip.AddrPort, b []byte) { f.tx.handleDatagram(from, b) }
 
@@ -164,7 +177,9 @@
 }
 
 // idle reports whether the line is free for a call.
-func (l *line) idle() bool { return l.caller == nil && l.called == nil && !l.closing }
+func (l *line) idle() bool {
+	return l.caller == nil && l.called == nil && !l.closing && !l.gw.clearing
+}
 
 // addNotificationRequest adds the parameters of a notification request to m: the events that the line is to report, and
 // the signals that it is to apply. Empty signals stop the current ones.
@@ -353,6 +368,10 @@
 	if l.caller != nil || l.closing {
 		return
 	}
+	if l.gw.clearing {
+		l.offHook = true
+		return
+	}
 	l.caller = &callerLeg{line: l}
 	l.requests.startCall()
 	f.reportFreeLines(l.gw)
@@ -362,6 +381,7 @@
 
 // handleOnHook ends the call of the line. While a call rings on the line, it has no effect.
 func (f *FrontEnd) handleOnHook(l *line) {
+	l.offHook = false
 	if leg := l.caller; leg != nil {
 		wasEnded := leg.ended
 		leg.ended = true
--- a/internal/mgcp/front_test.go
+++ b/internal/mgcp/front_test.go
@@ -13,12 +13,12 @@
 	"tinbeam/internal/metrics"
 )
 
-// testCaller counts the answers to its calls.
-type testCaller struct{ answered int }
+// testCaller counts the answers to its calls and their releases.
+type testCaller struct{ answered, released int }
 
 func (c *testCaller) Answer(*agent.Call, string)              { c.answered++ }
 func (c *testCaller) Refuse(*agent.Call, bool, time.Duration) {}
-func (c *testCaller) Release(*agent.Call, int)                {}
+func (c *testCaller) Release(*agent.Call, int)                { c.released++ }
 func (c *testCaller) newCall(id int) *agent.Call {
 	return &agent.Call{ID: fmt.Sprintf("%016x", id), Width: 1, TimeLeft: 15 * time.Second, Dest: 5, Via: -1, Description: "v=0\r\n", Caller: c}
 }
