A gateway that answers no audit is given up, and its calls are released

Cause: nothing noticed that a gateway says nothing; far ends are given up after 5 s. Change: a gateway with calls that has been silent for 2 s is audited (AUEP, sent until it is answered), and after 5 s of silence with the audit unanswered for 2.5 s its established calls are released, towards both sides: the DLCX follows in case it was only cut off. As with far ends, the silence counts from the first call.

--- /dev/null
+++ b/internal/mgcp/audit_test.go
@@ -0,0 +1,39 @@
+package mgcp
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against calls that stand forever: a gateway whose machine has gone says nothing, and its calls are released in time.
+func TestVanishedGateway(t *testing.T) {
+	g, caller := newGatewayFixture(t), &testCaller{}
+	g.answer("")
+	g.pass(time.Minute, func() { g.answer("") })
+	g.core.Offer(caller.newCall(1))
+	g.answer("")
+	start := g.now
+	g.pass(8*time.Second, func() {
+		if g.drop(""); caller.released > 0 && start > 0 {
+			if took := g.now - start; took > 6*time.Second {
+				t.Errorf("released after %v", took)
+			}
+			start = 0
+		}
+	})
+	if caller.released != 1 {
+		t.Errorf("%d calls released", caller.released)
+	}
+}
+
+// Guards against calls that are cut: a gateway with a call that stands has no cause to say anything, and answers when it is audited.
+func TestQuietGatewayKeepsItsCalls(t *testing.T) {
+	g, caller := newGatewayFixture(t), &testCaller{}
+	g.answer("")
+	g.core.Offer(caller.newCall(1))
+	audits := 0
+	g.pass(time.Minute, func() { audits += g.answer("AUEP") })
+	if caller.released != 0 || audits == 0 {
+		t.Errorf("%d calls released, %d audits", caller.released, audits)
+	}
+}
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -63,6 +63,9 @@
 	delayTimer  *agent.Timer // runs until the end of the restart delay that the gateway announced
 	lines       []*line
 	clearing    bool // the DLCX for connections of an earlier start is pending: it would delete later ones too
+
+	silentSince time.Duration // since then nothing was received, although the gateway has calls
+	auditedAt   time.Duration // time of an AUEP since which nothing was received; 0: there is none
 }
 
 // line is the state of one endpoint. It has at most one call at a time, either as the caller or as the called side.
@@ -116,6 +119,7 @@
 	for _, gw := range f.gateways {
 		f.clearGateway(gw)
 	}
+	f.core.After(auditInterval, f.auditGateways)
 	return f
 }
 
@@ -137,7 +141,10 @@
 }
 
 // HandleDatagram handles a datagram that was received from an address.
-func (f *FrontEnd) HandleDatagram(from netip.AddrPort, b []byte) { f.tx.handleDatagram(from, b) }
+func (f *FrontEnd) HandleDatagram(from netip.AddrPort, b []byte) {
+	f.heard(from)
+	f.tx.handleDatagram(from, b)
+}
 
 // updateFarEnds reports changed gateways and their free lines to the core.
 func (f *FrontEnd) updateFarEnds(changed ...*gateway) {
@@ -241,7 +248,7 @@
 	case "DLCX":
 		respondOK() // the gateway deletes the connection on its own
 		for _, l := range lines {
-			f.endWithoutDelete(l, tinbeam.Reset, 41)
+			f.endWithoutDelete(l, tinbeam.Reset, causeReset)
 			f.requestOffHook(l)
 		}
 	default:
@@ -271,7 +278,7 @@
 			mode = tinbeam.Gone
 		}
 		for _, l := range lines {
-			f.endWithoutDelete(l, tinbeam.Reset, 41)
+			f.endWithoutDelete(l, tinbeam.Reset, causeReset)
 		}
 		if allLines {
 			gw.onlineSince = f.core.Now()
@@ -372,6 +379,7 @@
 		l.offHook = true
 		return
 	}
+	l.gw.expectAnswers(f.core.Now())
 	l.caller = &callerLeg{line: l}
 	l.requests.startCall()
 	f.reportFreeLines(l.gw)
@@ -497,7 +505,7 @@
 	f.tx.request(l.gw.addr, m, func(r *Message) {
 		if !leg.ended && (r == nil || r.Code >= 300) {
 			f.endWithTone(leg, "L/ro")
-			f.core.Hangup(call, 41) // the caller is not connected, so the far end must release the call
+			f.core.Hangup(call, causeReset) // the caller is not connected, so the far end must release the call
 		}
 	})
 }
@@ -534,6 +542,7 @@
 		f.core.Ended(a, tinbeam.NotAttempted, tinbeam.NoteNoCircuit, nil, 0)
 		return
 	}
+	gw.expectAnswers(f.core.Now())
 	l := gw.lines[i]
 	leg := &calledLeg{line: l, attempt: a}
 	a.Leg, l.called = leg, leg
