A 481 from a peer that did not bring the call does not confirm its release

Cause: any final response to a BYE counted as its confirmation. 481 says that this peer does not know the call, and nothing about others.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -71,6 +71,7 @@
 	acked      bool          // an ACK of its answer was received
 	bye        []byte        // the BYE, once the call was released towards the caller
 	byeConn    *callerConn   // the connection that the BYE was last sent on; nil: none
+	strangers  []*callerConn // connections on which the BYE was answered by somebody who does not know the call
 	releasedAt time.Duration // when the release began
 }
 
@@ -312,7 +313,7 @@
 	c.gotNonOptions = c.gotNonOptions || m.Method != "OPTIONS"
 	if m.Status != 0 {
 		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
-			s.finish(id)
+			s.handleByeResponse(c, leg, m.Status)
 		}
 		return
 	}
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -309,6 +309,37 @@
 	on("only a health checker", nil)
 }
 
+// Guards against a release that never reaches its caller: with several peers, one that does not know the call does not confirm its
+// release, which goes to the others.
+func TestReleaseAnsweredByAStranger(t *testing.T) {
+	now := time.Hour
+	s := newCallersWithClock(func() time.Duration { return now }, 10)
+	connect := listen(t, s)
+	for i := 1; i <= 2; i++ {
+		connect()
+		for len(s.conns) < i {
+			s.core.Step()
+		}
+		s.conns[i-1].gotACK = true
+	}
+	const id = "9b1f03aa5c7e2d41"
+	leg := &callLeg{conn: &callerConn{closed: true}, bye: []byte("BYE"), call: &agent.Call{ID: id}, releasedAt: now}
+	s.byes[id], s.legs[id] = leg, leg
+	s.sendBye(leg)
+	stranger := leg.byeConn
+	response := func(status int) *sip.Message {
+		return &sip.Message{Status: status, Headers: []sip.Header{{Name: "Call-ID", Value: id}, {Name: "CSeq", Value: "1 BYE"}}}
+	}
+	stranger.handleMessage(response(481))
+	if s.legs[id] == nil || leg.byeConn == nil || leg.byeConn == stranger {
+		t.Fatalf("after the stranger's response the release was sent on %p, not on %p", leg.byeConn, stranger)
+	}
+	leg.byeConn.handleMessage(response(200))
+	if s.legs[id] != nil {
+		t.Error("the release is not confirmed")
+	}
+}
+
 // A caller whose CANCEL crosses the answer and who sends no ACK must be notified that the call has ended: it may have accepted
 // the answer.
 func TestCancelCrossesAnswer(t *testing.T) {
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"iter"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -37,6 +38,20 @@
 	s.sendBye(leg)
 }
 
+// statusUnknownCall is the response of a peer that does not know the call.
+const statusUnknownCall = 481
+
+// handleByeResponse handles the final response to a BYE, which confirms it. But there may be several peers: one that did not bring the
+// call and does not know it says nothing about the one that did, so the BYE goes on.
+func (s *Callers) handleByeResponse(c *callerConn, leg *callLeg, status int) {
+	if status != statusUnknownCall || c == leg.conn {
+		s.finish(leg.call.ID)
+		return
+	}
+	leg.strangers = append(leg.strangers, c)
+	s.sendBye(leg)
+}
+
 // sendBye sends a BYE on the connection of the call's set-up. If that is closed it takes the connection of the highest rank above
 // rankCheckOnly, and of these the most recently active one. The connection that carried the BYE last is passed over: if it is
 // open and there is no other, the BYE stays assigned to it and is not sent again.
@@ -49,13 +64,13 @@
 	leg.byeConn = nil
 	for rank := rankACKed; rank > rankCheckOnly; rank-- {
 		for i := len(s.conns) - 1; i >= 0; i-- {
-			if c := s.conns[i]; c != last && c.rank() == rank && c.link.Send(leg.bye, nil) {
+			if c := s.conns[i]; c != last && c.rank() == rank && !slices.Contains(leg.strangers, c) && c.link.Send(leg.bye, nil) {
 				leg.byeConn = c
 				return
 			}
 		}
 	}
-	if last != nil && !last.closed {
+	if last != nil && !last.closed && !slices.Contains(leg.strangers, last) {
 		leg.byeConn = last // no other connection is available
 	}
 }
