--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -128,15 +128,3 @@
 	}
 	x.dial(connsWanted)
 }
-
-// openTestConn opens one more connection to an unresponsive far end, in the place of another one if there are too many. This keeps
-// the established calls of a far end that only hangs: its machine still accepts connections, while one to a machine that is gone or
-// cut off is never opened.
-func (x *farEnd) openTestConn() {
-	if len(x.conns) >= maxConnsPerFarEnd {
-		c := x.leastLoaded()
-		c.link.Close()
-		c.tearDown()
-	}
-	x.dial(maxConnsPerFarEnd)
-}
--- /dev/null
+++ b/internal/platform/silence.go
@@ -0,0 +1,92 @@
+package platform
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"tinbeam/internal/agent"
+	"tinbeam/internal/changelog"
+)
+
+// This file notices a far end that says nothing although it has something to answer: its machine is gone or cut off.
+
+// The times of silence.
+const (
+	extraConnDelay      = 400 * time.Millisecond  // silence with a set-up pending before an extra connection is opened
+	healthCheckDelay    = 2 * time.Second         // silence of a far end with attempts or calls before a health check
+	unresponsiveTimeout = 5 * time.Second         // silence that means failure: its calls must be released within 8 s of its end
+	checkTimeout        = 2500 * time.Millisecond // least time that a far end has to answer a health check
+)
+
+// restartSilence counts the silence of the far end from now.
+func (x *farEnd) restartSilence() { x.silentSince, x.checkedAt = x.farEnds.core.Now(), 0 }
+
+// checkSilence examines a far end that has said nothing for a while although it has attempts or calls, or a health check to answer.
+func (x *farEnd) checkSilence() {
+	if len(x.attempts) == 0 && x.checkedAt == 0 {
+		return
+	}
+	now := x.farEnds.core.Now()
+	silent := now - x.silentSince
+	switch {
+	case silent > unresponsiveTimeout && x.checkedAt != 0 && now-x.checkedAt >= checkTimeout:
+		x.giveUp(silent)
+	case silent > healthCheckDelay && x.checkedAt == 0:
+		x.startHealthCheck()
+	case silent > extraConnDelay && x.pendingLongerThan(extraConnDelay):
+		// All its connections may be stalled. On a new one the far end first sends its group's state, which shows it is alive.
+		x.dial(maxConnsPerFarEnd - 1) // one is left for a health check
+	}
+}
+
+// startHealthCheck sends a health check, and opens a connection.
+func (x *farEnd) startHealthCheck() {
+	x.checkedAt = x.farEnds.core.Now()
+	x.sendCheck()
+	x.openTestConn()
+}
+
+// giveUp ends the attempts and calls at a far end that has neither answered a health check nor accepted a connection, and closes its
+// connections. A machine that is gone or cut off does that; its connections stay open, and no new one comes up.
+func (x *farEnd) giveUp(silent time.Duration) {
+	x.farEnds.log.Warn("far end is unresponsive",
+		zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)), zap.Duration("silent", silent),
+		zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Duration("health check sent before", x.farEnds.core.Now()-x.checkedAt))
+	x.farEnds.core.Metrics.IdleLinks.Inc()
+	x.restartSilence()
+	// The connections come first: a release must not be written to one that leads nowhere.
+	x.closeConns()
+	x.endAttempts(func(a *agent.Attempt) bool { return a.Leg.(*attemptLeg).conn != nil })
+}
+
+// oldestAttemptAge returns the age of the oldest attempt or call at the far end; 0 without any.
+func (x *farEnd) oldestAttemptAge() time.Duration {
+	oldest := x.farEnds.core.Now()
+	for _, a := range x.attempts {
+		oldest = min(oldest, a.SentAt)
+	}
+	return x.farEnds.core.Now() - oldest
+}
+
+// pendingLongerThan reports whether a set-up has been pending for longer than age.
+func (x *farEnd) pendingLongerThan(age time.Duration) bool {
+	for _, a := range x.attempts {
+		if !a.Established() && x.farEnds.core.Now()-a.SentAt > age {
+			return true
+		}
+	}
+	return false
+}
+
+// openTestConn opens one more connection to an unresponsive far end, in the place of another one if there are too many. This keeps
+// the established calls of a far end that only hangs: its machine still accepts connections, while one to a machine that is gone or
+// cut off is never opened.
+func (x *farEnd) openTestConn() {
+	if len(x.conns) >= maxConnsPerFarEnd {
+		c := x.leastLoaded()
+		c.link.Close()
+		c.tearDown()
+	}
+	x.dial(maxConnsPerFarEnd)
+}
