As many releases are remembered for a lost connection as wait for one

Cause: a connection remembered the last 64 unconfirmed releases; of more, lost with it, the calls went on at the far end. Change: 1,024, as many as may wait for a connection, still of the last 10 s only. Result: TestManyReleasesLostAtOnce (200 calls given up, both connections lost, none confirmed) failed before and passes.

--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -42,7 +42,7 @@
 }
 
 // testCircuits is the size of the circuit group.
-const testCircuits = 10
+const testCircuits = 300
 
 // peerConn is the far end's side of a connection.
 type peerConn struct{ net.Conn }
@@ -90,7 +90,7 @@
 	loop := agent.NewLoop(clock)
 	core := agent.New(loop, settings, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
 	f := &farEndFixture{T: t, core: core, listener: ln, conns: make(chan *peerConn, 16), lines: make(chan peerLine, 1024),
-		answers: make(chan string, 16)}
+		answers: make(chan string, 1024)}
 	f.freeCircuits.Store(testCircuits)
 	f.farEnds = NewFarEnds(core, zap.NewNop(), 500*time.Millisecond, func() {})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -149,6 +150,34 @@
 	}
 }
 
+// Guards against calls left standing at a far end: however many releases are lost with their connections, each is sent again.
+func TestManyReleasesLostAtOnce(t *testing.T) {
+	const setUps = 200
+	f := newSteppedFixture(t)
+	conns := f.open()
+	var calls []*agent.Call
+	for i := range setUps {
+		calls = append(calls, &agent.Call{ID: fmt.Sprintf("%016x", i), Width: 1, TimeLeft: 15 * time.Second, Dest: 1, Via: -1, Caller: f})
+		f.onLoop(func() { f.core.Offer(calls[i]) })
+	}
+	for range setUps {
+		f.next(farend.Launch)
+	}
+	for _, k := range calls {
+		f.onLoop(func() { f.core.Abandoned(k) })
+	}
+	for range setUps {
+		f.next(farend.Stop) // and does not confirm it
+	}
+	f.listener.Close()
+	f.loseConnections(conns)
+	f.listenAgain()
+	released := map[string]bool{}
+	for len(released) < setUps {
+		released[f.next(farend.Stop).m.UID] = true
+	}
+}
+
 // Guards against a call left standing towards its caller: the process of a far end has ended, and refuses connections.
 func TestRefusedForGood(t *testing.T) {
 	f := newSteppedFixture(t)
--- a/internal/platform/stop.go
+++ b/internal/platform/stop.go
@@ -12,7 +12,7 @@
 
 const (
 	confirmTime       = 10 * time.Second // a release not confirmed within this is not sent again
-	maxUnconfirmed    = 64               // releases remembered for each connection
+	maxUnconfirmed    = 1024             // releases remembered for each connection
 	maxQueuedReleases = 1024             // releases kept for a far end that cannot be reached
 )
 
