--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -241,6 +241,18 @@
 	}
 }
 
+// Guards against calls that are cut: an agent that was itself stopped has heard nothing meanwhile, which says nothing of its far ends.
+func TestStoppedAgentKeepsItsCalls(t *testing.T) {
+	f := newSteppedFixture(t)
+	f.open()
+	f.standingCall()
+	f.clock.Add(int64(10 * time.Second))
+	f.advance(time.Second)
+	if len(f.answers) > 0 {
+		t.Errorf("the caller got %q", <-f.answers)
+	}
+}
+
 // Guards against a call that stands without a caller: one that the list says is lost with its process is released there as well, since
 // another process may have the address already, and the call.
 func TestListedEndReleasesAtTheFarEnd(t *testing.T) {
