A drain closes connections that are opened after it has closed the others

Cause: the drain tries to close idle connections every 5 ms, and stopped trying once there was none. Change: a new connection starts the closing again. Result: TestDrainClosesLaterConnections failed before ('open 291ms after its last answer') and passes, 20 of 20.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -170,6 +170,7 @@
 		c.number, c.lastMessageAt = s.accepted, s.core.Now()
 		s.conns = append(s.conns, c)
 		s.core.Metrics.CallerConnections.Set(int64(len(s.conns)))
+		s.scheduleClosing()
 		if len(s.conns) > s.softConnLimit {
 			s.evict()
 		}
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -247,6 +247,34 @@
 	}
 }
 
+// Guards against connections that a drain leaves open: one that is opened after the others were closed is closed as soon as what came
+// on it is answered, and not at the next sweep.
+func TestDrainClosesLaterConnections(t *testing.T) {
+	now := time.Hour
+	s := newCallersWithClock(func() time.Duration { return now }, 10)
+	connect := listen(t, s)
+	s.Drain(&DrainSchedule{RefuseAfter: time.Millisecond, CloseAfter: time.Millisecond})
+	now += byeRetryInterval + time.Millisecond // just after a sweep
+	s.core.Step()
+	peer := connect()
+	if _, err := peer.Write(newInvite("9b1f03aa5c7e2d41", "check", "9000", "dest:1", "v=0").Append(nil)); err != nil {
+		t.Fatal(err)
+	}
+	end := time.Now().Add(testTimeout)
+	for len(s.conns) == 0 || !s.conns[0].gotMessage {
+		if s.core.Step(); time.Now().After(end) {
+			t.Fatal("the set-up was not handled")
+		}
+	}
+	for begun := now; len(s.conns) > 0; time.Sleep(time.Millisecond) {
+		now += time.Millisecond
+		s.core.Step()
+		if now-begun > byeRetryInterval-10*time.Millisecond {
+			t.Fatalf("open %v after its last answer", now-begun)
+		}
+	}
+}
+
 // unresponsive is a far-end side that never answers. It stores the latest attempt in last, if that is set.
 type unresponsive struct{ last **agent.Attempt }
 
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -56,13 +56,20 @@
 	for _, c := range slices.Clone(s.conns) {
 		c.closeIfIdle()
 	}
-	if s.drain != nil && s.drainClosing && !s.closeScheduled && len(s.conns) > 0 {
-		s.closeScheduled = true
-		s.core.After(closeRetryInterval, func() {
-			s.closeScheduled = false
-			s.closeIdle()
-		})
+	s.scheduleClosing()
+}
+
+// scheduleClosing calls closeIdle again soon if a drain closes connections and there are any. A caller whose connection was closed may
+// have opened another one since.
+func (s *Callers) scheduleClosing() {
+	if s.drain == nil || !s.drainClosing || s.closeScheduled || len(s.conns) == 0 {
+		return
 	}
+	s.closeScheduled = true
+	s.core.After(closeRetryInterval, func() {
+		s.closeScheduled = false
+		s.closeIdle()
+	})
 }
 
 // closeIfIdle closes a connection with no set-up pending on it, once a drain closes connections.
