A copy beyond the limit of a set-up that waits to be handled is ignored

What callers saw: two final answers to one set-up, 503 both, when its copy came while 256 messages of the connection waited to be handled. Change: a connection remembers the last 256 set-ups that it passed on, and a copy of one of them beyond the limit is ignored. Result: TestCopyOfQueuedSetUpBeyondTheLimit failed before ('the copy was refused') and passes.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -129,7 +129,7 @@
 func (s *Callers) OpenCalls() int { return len(s.legs) }
 
 // callerConn is one connection. Its methods Data and Closed run outside the core's loop; they post to it and change nothing
-// but the counts of queued messages and overLimit.
+// but the counts of queued messages, queuedSetUps and overLimit.
 type callerConn struct {
 	callers       *Callers
 	link          *link.Conn
@@ -145,6 +145,7 @@
 	badRequests   int                 // invalid requests refused
 	queued        atomic.Int32        // messages received and not handled yet
 	closeTrying   bool                // closeSoon is about to close it
+	queuedSetUps  recentCalls         // set-ups passed on to be handled; used by Data only
 	overLimit     recentCalls         // set-ups refused at the limits; used by Data only
 }
 
@@ -254,6 +255,11 @@
 		size := int64(n)
 		messages, bytes := c.queued.Add(1), c.callers.queuedBytes.Add(size) // both count it until it is dequeued
 		if messages > maxQueuedPerConn || bytes > int64(c.callers.maxBytes) {
+			if m.Method == "INVITE" && c.queuedSetUps.contains(m.Get("Call-ID")) {
+				core.Metrics.Duplicates.Inc() // a copy of a set-up that will have its answer
+				c.dequeued(size)
+				continue
+			}
 			core.Metrics.RateLimited.Inc()
 			if m.Method == "INVITE" {
 				c.overLimit.add(m.Get("Call-ID"))
@@ -264,6 +270,9 @@
 			c.dequeued(size)
 			continue
 		}
+		if m.Method == "INVITE" {
+			c.queuedSetUps.add(m.Get("Call-ID"))
+		}
 		core.Post(func() {
 			c.dequeued(size)
 			c.handleMessage(m)
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -777,3 +777,27 @@
 		}
 	}
 }
+
+// Guards against a second final answer: a copy beyond the limit of a set-up that waits to be handled is ignored, since that one will
+// have its answer.
+func TestCopyOfQueuedSetUpBeyondTheLimit(t *testing.T) {
+	s := newCallers()
+	c := listen(t, s)()
+	var b []byte
+	for i := range maxQueuedPerConn {
+		b = newInvite(fmt.Sprintf("%016x", i), "check", "1500", "dest:1", "v=0").Append(b)
+	}
+	b = newInvite(fmt.Sprintf("%016x", 0), "check", "1500", "dest:1", "v=0").Append(b)
+	if _, err := c.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	m := s.core.Metrics
+	for end := time.Now().Add(testTimeout); m.Duplicates.Value()+m.RateLimited.Value() < 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the copy was not read")
+		}
+	}
+	if m.RateLimited.Value() > 0 {
+		t.Error("the copy was refused")
+	}
+}
