Rig: a caller that closes its connection sends no further set-up on it

A caller that retries a refusal does so on a goroutine of its own; if the set-up falls between the marking of the open set-ups and the close of a caller that drops its connection, or that finds it idle, the rig takes its own close for the agent's. Change: drop and the idle close mark the connection under the lock that opens set-ups, and nothing is sent on it afterwards. No rule of the checker changes.

--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -173,8 +173,8 @@
 		if wait < time.Second && !c.quiet() {
 			c.newCall(conn, false)
 			lastCall = time.Now()
-		} else if time.Since(lastCall) > idleCloseTime && !conn.busy() {
-			conn.Close()
+		} else if time.Since(lastCall) > idleCloseTime {
+			conn.closeIfIdle()
 		}
 	}
 }
--- a/internal/faultrig/callerconn.go
+++ b/internal/faultrig/callerconn.go
@@ -22,14 +22,24 @@
 	writes    sync.Mutex
 	ended     chan struct{} // closed when the connection has ended
 	resetSeen atomic.Bool   // it ended with a reset: of read and write, only one gets its error
+	closing   bool          // its caller is about to close it, and sends no further set-up; guarded by crowd.mu
 }
 
-// busy reports whether a request of the connection is open or its call stands.
-func (conn *callerConn) busy() bool {
+// closeIfIdle closes the connection unless a request of it is open or a call of it stands.
+func (conn *callerConn) closeIfIdle() {
 	c := conn.crowd
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.requests {
+	idle := !conn.busy()
+	conn.closing = conn.closing || idle
+	c.mu.Unlock()
+	if idle {
+		conn.Close()
+	}
+}
+
+// busy reports whether a request of the connection is open or its call stands. The crowd's lock is held.
+func (conn *callerConn) busy() bool {
+	for _, r := range conn.crowd.requests {
 		if r.conn == conn && (r.open || r.stands) {
 			return true
 		}
@@ -74,6 +84,10 @@
 		}
 	}
 	c.mu.Lock()
+	if conn.closing {
+		c.mu.Unlock()
+		return
+	}
 	r.takenAt = c.recorder.Now()
 	if left > 0 {
 		r.deadline = r.takenAt + left
@@ -111,7 +125,7 @@
 
 // established reports whether the peer had not closed the connection when the last write ended.
 func (conn *callerConn) established() bool {
-	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -156,6 +170,7 @@
 func (conn *callerConn) drop() {
 	c := conn.crowd
 	c.mu.Lock()
+	conn.closing = true
 	for _, r := range c.requests {
 		if r.conn == conn && r.open {
 			r.open = false
