Rig: an event counts as delivered from its write, and on a held connection only

Change: the delivery has the time at which the write of the last piece began, and is recorded only if the connection was still established after it.

--- a/internal/faultrig/caller.go
+++ b/internal/faultrig/caller.go
@@ -16,7 +16,6 @@
 	statusUnavailable = 503
 	idleCloseTime     = 4 * time.Second // a caller closes a connection without a call after this
 	reconnectInterval = 40 * time.Millisecond
-	tcpEstablished    = 1                      // TCP_ESTABLISHED of the kernel's state machine
 	copyTime          = 400 * time.Millisecond // a copy of a set-up comes within this
 	maxPieces         = 8                      // of a message that is written in pieces
 	silentConnTime    = 1950 * time.Millisecond
--- a/internal/faultrig/callerconn.go
+++ b/internal/faultrig/callerconn.go
@@ -10,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tinbeam/internal/sip"
 )
 
@@ -98,7 +96,7 @@
 	if errors.Is(err, syscall.ECONNRESET) {
 		conn.resetSeen.Store(true)
 	}
-	if err != nil || !conn.established() {
+	if err != nil || !established(conn.Conn) {
 		c.mu.Lock()
 		r.open = false // the connection was closed before the last byte was written
 		c.mu.Unlock()
@@ -123,20 +121,6 @@
 	return message, nil
 }
 
-// established reports whether the peer had not closed the connection when the last write ended.
-func (conn *callerConn) established() bool {
-	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	up := false
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), syscall.IPPROTO_TCP, unix.TCP_INFO)
-		up = err == nil && info.State == tcpEstablished
-	})
-	return up
-}
-
 // write writes a message behind what is being written. It does not block the reader, which a slow writer would hold up.
 func (conn *callerConn) write(m *sip.Message) { go conn.writeBytes(m.Append(nil)) }
 
--- a/internal/faultrig/discovery.go
+++ b/internal/faultrig/discovery.go
@@ -234,44 +234,55 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		intact, err := d.writeFrame(c, frame)
+		writing, err := d.writeFrame(c, frame)
 		if err != nil {
 			return
 		}
 		lastSent = time.Now()
-		if readable = readable && intact; readable {
-			d.log.recorder.Add(Event{Kind: ListDelivered, Agent: d.agent, Value: int64(next - 1)})
+		readable = readable && writing.intact
+		if readable && established(c) { // else the agent had left the connection, and never gets what was written
+			d.log.recorder.Add(Event{At: writing.lastPieceAt, Kind: ListDelivered, Agent: d.agent, Value: int64(next - 1)})
 		}
 	}
 }
 
-// writeFrame writes a frame in the way of the present mode, and reports whether it was written as it is.
-func (d *discovery) writeFrame(c net.Conn, frame []byte) (intact bool, err error) {
+// frameWriting says how a frame was written.
+type frameWriting struct {
+	intact      bool          // as it is
+	lastPieceAt time.Duration // when the write of its last piece began: the agent may have it before that write returns
+}
+
+// writeFrame writes a frame in the way of the present mode.
+func (d *discovery) writeFrame(c net.Conn, frame []byte) (frameWriting, error) {
 	switch d.presentMode() {
 	case discoverySlow:
-		return true, writeSlowly(c, frame)
+		return d.writeSlowly(c, frame)
 	case discoverySpoilt:
 		if fault := d.drawSpoiltFrame(); fault != frameIntact {
-			return false, writeSpoilt(c, frame, fault)
+			return frameWriting{}, writeSpoilt(c, frame, fault)
 		}
 	}
-	_, err = c.Write(frame)
-	return true, err
+	return d.writeLastPiece(c, frame)
 }
 
 // writeSlowly writes a frame in pieces.
-func writeSlowly(c net.Conn, frame []byte) error {
+func (d *discovery) writeSlowly(c net.Conn, frame []byte) (frameWriting, error) {
 	const pieces = 10
-	for i := range pieces {
+	for i := range pieces - 1 {
 		from, till := i*len(frame)/pieces, (i+1)*len(frame)/pieces
 		if _, err := c.Write(frame[from:till]); err != nil {
-			return err
-		}
-		if i < pieces-1 {
-			time.Sleep(slowFrameTime / pieces)
+			return frameWriting{}, err
 		}
+		time.Sleep(slowFrameTime / pieces)
 	}
-	return nil
+	return d.writeLastPiece(c, frame[(pieces-1)*len(frame)/pieces:])
+}
+
+// writeLastPiece writes what is left of a frame.
+func (d *discovery) writeLastPiece(c net.Conn, rest []byte) (frameWriting, error) {
+	writing := frameWriting{intact: true, lastPieceAt: d.log.recorder.Now()}
+	_, err := c.Write(rest)
+	return writing, err
 }
 
 // spoiltFrame says how a frame is spoilt.
--- a/internal/faultrig/record.go
+++ b/internal/faultrig/record.go
@@ -36,7 +36,7 @@
 
 	// The change log.
 	ListChanged   EventKind = "list_changed"   // Value is the sequence number, Note the state of FarEnd
-	ListDelivered EventKind = "list_delivered" // an event was written to an agent; Value is the sequence number
+	ListDelivered EventKind = "list_delivered" // an event was written to a connection that the agent held; Value is the sequence number
 	DiscoveryDown EventKind = "discovery_down"
 	DiscoveryUp   EventKind = "discovery_up"
 
