Far-end tests: connections are lost at one moment, at an address of the test's own

Cause: TestRefusedAtConnectionLimit failed beside load ('received stop, on the connection of the release: false'), 113 times in 24 processes of 40 runs at once. The log shows two faults of the test. It reset one connection after another, so that the agent could send the release on the second one, which the far end read before it was reset too; the release was then rightly sent again. And the port of a closed listener went to another process's listener, or could not be opened again (2 and 1 of these runs). Change: the fixture resets all connections while the loop waits, and listens at a loopback host of its own. The steps and what they expect are as they were.

--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"runtime"
 	"strings"
@@ -80,7 +81,9 @@
 
 // newFarEndFixtureAt returns a fixture whose core has the given clock.
 func newFarEndFixtureAt(t *testing.T, clock func() time.Duration) *farEndFixture {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// With a host of its own, its port stays free while nothing listens there, also if other tests run at the same time.
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	ln, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -68,12 +68,15 @@
 	return launch.conn
 }
 
-// loseConnections resets the connections, and refuses others if the listener is closed before.
+// loseConnections resets the connections, and refuses others if the listener is closed before. The loop learns of the first loss when
+// all are lost, so that it sends nothing on the others.
 func (f *steppedFixture) loseConnections(conns []*peerConn) {
-	for _, c := range conns {
-		_ = c.Conn.(*net.TCPConn).SetLinger(0)
-		c.Close()
-	}
+	f.onLoop(func() {
+		for _, c := range conns {
+			_ = c.Conn.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	})
 	f.waitFor("the connections were not lost", false, func(x *farEnd) bool { return len(x.conns) == 0 })
 }
 
