Rig: each party listens at a loopback address of its own

Cause: a proxy, a discovery server and an agent close their ports for a time and open them again. At 127.0.0.1 the port may go to another listener or an outgoing connection meanwhile; the far-end tests, which run beside it, showed both. Change: each listens at a random host of 127/8. The plans are as they were.

--- a/internal/faultrig/discovery.go
+++ b/internal/faultrig/discovery.go
@@ -123,7 +123,7 @@
 type discovery struct {
 	agent    string
 	log      *changeLog
-	port     int
+	address  string // on which it listens
 	mu       sync.Mutex
 	mode     discoveryMode
 	listener net.Listener
@@ -132,19 +132,23 @@
 }
 
 func newDiscovery(agent string, log *changeLog, seed uint64) (*discovery, error) {
-	d := &discovery{agent: agent, log: log, rng: rand.New(rand.NewPCG(seed, 0xd1))}
+	d := &discovery{agent: agent, log: log, address: newLoopbackAddress(), rng: rand.New(rand.NewPCG(seed, 0xd1))}
 	return d, d.listen()
 }
 
-func (d *discovery) addr() string { return fmt.Sprintf("127.0.0.1:%d", d.port) }
+func (d *discovery) addr() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.address
+}
 
 func (d *discovery) listen() error {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", d.port))
+	ln, err := net.Listen("tcp", d.addr())
 	if err != nil {
 		return err
 	}
 	d.mu.Lock()
-	d.listener, d.port = ln, ln.Addr().(*net.TCPAddr).Port
+	d.listener, d.address = ln, ln.Addr().String()
 	d.mu.Unlock()
 	go func() {
 		for {
--- a/internal/faultrig/farend.go
+++ b/internal/faultrig/farend.go
@@ -71,7 +71,7 @@
 	f := &farEnd{recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0xfa)), attempts: map[*farAttempt]bool{},
 		free: circuitsPerSide, unheard: map[string][]byte{}}
 	f.setName(id)
-	return f, f.listen("127.0.0.1:0")
+	return f, f.listen(newLoopbackAddress())
 }
 
 func (f *farEnd) listen(addr string) error {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -36,7 +36,7 @@
 type proxy struct {
 	farEnd   *farEnd
 	recorder *Recorder
-	port     int
+	address  string // on which it listens
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -67,14 +67,14 @@
 
 // newProxy starts a proxy on a free port of the loopback interface.
 func newProxy(f *farEnd, seed uint64, recorder *Recorder) (*proxy, error) {
-	p := &proxy{farEnd: f, recorder: recorder, rng: rand.New(rand.NewPCG(seed, 0x9c))}
+	p := &proxy{farEnd: f, recorder: recorder, address: newLoopbackAddress(), rng: rand.New(rand.NewPCG(seed, 0x9c))}
 	p.changed = sync.NewCond(&p.mu)
 	return p, p.listen()
 }
 
-// listen opens the proxy's socket, at its earlier port if it had one.
+// listen opens the proxy's socket, at its earlier address if it had one.
 func (p *proxy) listen() error {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p.port))
+	ln, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
 	}
@@ -82,13 +82,17 @@
 		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), acceptBacklog) })
 	}
 	p.mu.Lock()
-	p.listener, p.port, p.listening, p.stopped = ln, ln.Addr().(*net.TCPAddr).Port, true, false
+	p.listener, p.address, p.listening, p.stopped = ln, ln.Addr().String(), true, false
 	p.mu.Unlock()
 	go p.accept(ln)
 	return nil
 }
 
-func (p *proxy) addr() string { return fmt.Sprintf("127.0.0.1:%d", p.port) }
+func (p *proxy) addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
 
 func (p *proxy) accept(ln net.Listener) {
 	for {
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -162,7 +162,7 @@
 
 // freeAddress returns an address that nothing listens on at present.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", newLoopbackAddress())
 	if err != nil {
 		return "", err
 	}
