An upgrade keeps a connection of each host of callers while its calls stand

Cause: after SIGTERM on a passed socket the old process closed every connection without a pending set-up, as a drain does. But no caller connects to it again, so its releases had no way left. Change: a drain schedule may ask to keep, for each host with a call that stands or whose release is not confirmed, the best connection for releases; the one for upgrades does.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -43,7 +43,7 @@
 var (
 	operatorDrain = platform.DrainSchedule{RefuseAfter: 3300 * time.Millisecond, CloseAfter: 3600 * time.Millisecond,
 		EndAfter: 3750 * time.Millisecond}
-	handoverDrain = platform.DrainSchedule{CloseAfter: 100 * time.Millisecond}
+	handoverDrain = platform.DrainSchedule{CloseAfter: 100 * time.Millisecond, KeepForReleases: true}
 )
 
 // App is one call agent.
--- a/internal/app/play_test.go
+++ b/internal/app/play_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,9 +40,10 @@
 	"ends":   `->{"kind":"stop","uid":"ID","meta":{},"reason":16}`,
 	"over": "<-BYE sip:peer@net SIP/2.0\nVia: SIP/2.0/TCP {?};branch={?}\nMax-Forwards: 70\nCall-ID: ID\nCSeq: 1 BYE\n" +
 		"Reason: Q.850;cause=16\nContent-Length: 0\n",
-	"looped": "<-SIP/2.0 482 Loop Detected\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
-	"bad":    "<-SIP/2.0 400 Bad Request\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
-	"failed": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 OPTIONS\nContent-Length: 0\n",
+	"confirms": "->SIP/2.0 200 OK\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 BYE\nContent-Length: 0\n",
+	"looped":   "<-SIP/2.0 482 Loop Detected\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
+	"bad":      "<-SIP/2.0 400 Bad Request\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\nContent-Length: 0\n",
+	"failed":   "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 OPTIONS\nContent-Length: 0\n",
 	"refused": "<-SIP/2.0 503 Service Unavailable\nVia: SIP/2.0/TCP peer\nCall-ID: ID\nCSeq: 1 INVITE\n" +
 		"Content-Length: 0\n",
 }
@@ -55,6 +57,7 @@
 //	@ far NAME place=N          starts a far end at exchange number N; it sends the text on each new connection
 //	@ gateway NAME place=N ...  starts an MGCP gateway at exchange number N
 //	@ route PREFIX PLACE        routes numbers that gateways' callers dial to the exchange number PLACE
+//	@ inherit                   the program gets the callers' socket passed on, as in an upgrade
 //	@ start                     starts the program
 //	@ NAME ->                   NAME sends the text, a far end on the connection of the call's set-up if that is open; an
 //	                            unknown NAME is a new caller
@@ -109,6 +112,7 @@
 	settings  [][2]string // keys and values that replace those of settings.json
 	gateways  []any
 	routes    []any
+	inherits  bool          // the program gets the callers' socket passed on
 	done      chan struct{} // closed when the program has ended
 }
 
@@ -423,6 +427,9 @@
 	case "route":
 		p.routes = append(p.routes, map[string]any{"prefix": words[1], "place": atoi(p, words[2])})
 		return
+	case "inherit":
+		p.inherits = true
+		return
 	case "start":
 		p.startApp()
 		return
@@ -636,6 +643,24 @@
 	return n
 }
 
+// passedSocket returns the descriptor of a listening socket that this process holds too.
+func (p *player) passedSocket() int {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.Fatal(err)
+	}
+	p.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		p.Fatal(err)
+	}
+	fd := -1
+	if controlErr := raw.Control(func(s uintptr) { fd, err = syscall.Dup(int(s)) }); controlErr != nil || err != nil {
+		p.Fatal(controlErr, err)
+	}
+	return fd
+}
+
 // waitForCounter waits until the counter has the wanted value.
 func (p *player) waitForCounter(name string, want int) {
 	p.Helper()
@@ -680,6 +705,9 @@
 			p.Fatal(err)
 		}
 	}
+	if p.inherits {
+		cfg.InheritedFD = p.passedSocket()
+	}
 	p.cfg = cfg
 	if p.app, err = New(cfg, op, metrics.New(), zap.NewNop()); err != nil {
 		p.Fatal(err)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -183,6 +183,15 @@
 	}
 }
 
+// RemoteHost returns the peer's address without its port.
+func (c *Conn) RemoteHost() string {
+	host, _, err := net.SplitHostPort(c.np.RemoteAddr().String())
+	if err != nil {
+		return c.np.RemoteAddr().String()
+	}
+	return host
+}
+
 // Flooded reports whether the connection was closed because its peer sends faster than the handler consumes.
 func (c *Conn) Flooded() bool { return c.flooded.Load() }
 
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -40,25 +40,26 @@
 type Callers struct {
 	core             *agent.Core
 	log              *zap.Logger
-	sentBy           string              // host and port in the Via header
-	ready            bool                // health checks pass, unless a drain is in progress
-	legs             map[string]*callLeg // by Call-ID
-	conns            []*callerConn       // open, in the order of their last message
-	stopping         bool                // the agent is about to exit and refuses new calls
-	drain            *DrainSchedule      // the drain in progress; nil: callers are accepted
-	drainClosing     bool                // CloseAfter of the drain has passed
-	closeScheduled   bool                // closeIdle runs again soon
-	drainRefusing    bool                // RefuseAfter of the drain has passed
-	softConnLimit    int                 // above this many connections, each new one evicts one without a call
-	legBytes         int                 // bytes of the set-ups in legs
-	maxBytes         int                 // upper bound of legBytes, and of queuedBytes
-	queuedBytes      atomic.Int64        // bytes of messages received and not handled yet
-	byes             map[string]*callLeg // releases that no caller has confirmed, by Call-ID
-	finished         map[string]uint64   // number of the connection that the set-up of each finished call came on, by Call-ID
-	accepted         uint64              // connections accepted so far
-	finishedOrder    []finishedCall      // the finished calls, oldest first
-	heldHealthChecks []*heldHealthCheck  // health checks received before the agent was ready, and not answered
-	branch           uint64              // number in the Via branch of the last BYE sent
+	sentBy           string               // host and port in the Via header
+	ready            bool                 // health checks pass, unless a drain is in progress
+	legs             map[string]*callLeg  // by Call-ID
+	conns            []*callerConn        // open, in the order of their last message
+	stopping         bool                 // the agent is about to exit and refuses new calls
+	drain            *DrainSchedule       // the drain in progress; nil: callers are accepted
+	drainClosing     bool                 // CloseAfter of the drain has passed
+	closeScheduled   bool                 // closeIdle runs again soon
+	drainRefusing    bool                 // RefuseAfter of the drain has passed
+	releaseConns     map[*callerConn]bool // what the drain keeps open, as last chosen
+	softConnLimit    int                  // above this many connections, each new one evicts one without a call
+	legBytes         int                  // bytes of the set-ups in legs
+	maxBytes         int                  // upper bound of legBytes, and of queuedBytes
+	queuedBytes      atomic.Int64         // bytes of messages received and not handled yet
+	byes             map[string]*callLeg  // releases that no caller has confirmed, by Call-ID
+	finished         map[string]uint64    // number of the connection that the set-up of each finished call came on, by Call-ID
+	accepted         uint64               // connections accepted so far
+	finishedOrder    []finishedCall       // the finished calls, oldest first
+	heldHealthChecks []*heldHealthCheck   // health checks received before the agent was ready, and not answered
+	branch           uint64               // number in the Via branch of the last BYE sent
 }
 
 // callLeg is this front end's state of a call, kept in Call.Leg.
@@ -134,6 +135,7 @@
 	callers       *Callers
 	link          *link.Conn
 	number        uint64
+	host          string // IP address of the peer
 	closed        bool
 	gotMessage    bool                // a complete message was received
 	gotNonOptions bool                // one other than OPTIONS was received
@@ -165,7 +167,7 @@
 
 // Accept returns the handler of a new connection.
 func (s *Callers) Accept(l *link.Conn) link.Handler {
-	c := &callerConn{callers: s, link: l, legs: map[string]*callLeg{}}
+	c := &callerConn{callers: s, link: l, host: l.RemoteHost(), legs: map[string]*callLeg{}}
 	s.core.Post(func() {
 		s.accepted++
 		c.number, c.lastMessageAt = s.accepted, s.core.Now()
--- a/internal/platform/closing.go
+++ b/internal/platform/closing.go
@@ -15,6 +15,9 @@
 	CloseAfter  time.Duration // from then on each connection is closed as soon as no set-up is pending on it
 	RefuseAfter time.Duration // from then on set-ups are refused, so that busy connections become idle too
 	EndAfter    time.Duration // then the set-ups still pending are failed and all connections closed
+
+	// While calls are established, connections stay open for their releases: no caller will connect to this agent again.
+	KeepForReleases bool
 }
 
 // Drain starts draining callers, or with nil accepts them again. During a drain health checks fail; connected callers are
@@ -53,6 +56,7 @@
 
 // closeIdle closes what a drain may close now, and tries again soon as long as the drain closes connections.
 func (s *Callers) closeIdle() {
+	s.releaseConns = s.chooseReleaseConns()
 	for _, c := range slices.Clone(s.conns) {
 		c.closeIfIdle()
 	}
@@ -74,7 +78,7 @@
 
 // closeIfIdle closes a connection with no set-up pending on it, once a drain closes connections.
 func (c *callerConn) closeIfIdle() {
-	if s := c.callers; s.drain != nil && s.drainClosing && c.gotMessage {
+	if s := c.callers; s.drain != nil && s.drainClosing && c.gotMessage && !s.releaseConns[c] {
 		c.closeWithoutLoss()
 	}
 }
