Held calls are not served at every event while there are hundreds of them

Cause: every event made the decision module go through all held calls, up to 7,500. Change: above 500 held calls there is a pause between passes of 1 µs for each, but a tick still has one. Below nothing changes.

--- a/controller.go
+++ b/controller.go
@@ -29,6 +29,10 @@
 	shrinkFactor      = 0.75                   // change of T without overload
 	tickInterval      = 20 * time.Millisecond  // how often held calls and timeouts are examined
 	maxAveragingTime  = 10 * time.Second       // upper bound of averagingTime; default holding time
+
+	// With more held calls than this they are not served at every event, but after a pause of so much for each.
+	maxHeldServedAtOnce = 500
+	servePause          = time.Microsecond
 )
 
 // gap limits one stream of set-ups (call gapping) with a banked counter. An inactive gap grants everything.
@@ -195,11 +199,12 @@
 	// Decaying counts of calls that are neither in transit nor redials: all, and those established in time.
 	offeredByClass, servedByClass []float64
 	tickScheduled                 bool
-	pass                          int        // number of the pass of serveHeld
-	recentSetUps                  []sample   // the last set-ups that ended
-	localWaitSeconds              float64    // estimated wait at the local processor during a set-up
-	tandemSuccess                 [3]float64 // smoothed share of successful set-ups, by tandemKind
-	maxWait                       float64    // seconds: a longer wait at one processor means overload
+	pass                          int           // number of the pass of serveHeld
+	servedAt                      time.Duration // time of the last pass
+	recentSetUps                  []sample      // the last set-ups that ended
+	localWaitSeconds              float64       // estimated wait at the local processor during a set-up
+	tandemSuccess                 [3]float64    // smoothed share of successful set-ups, by tandemKind
+	maxWait                       float64       // seconds: a longer wait at one processor means overload
 	// How long the results of tandems count, as a multiple of adjustInterval or averagingTime.
 	tandemMemory float64
 	// The time between changes of a gap's interval, and the time constant of rates; see applySettings.
@@ -316,7 +321,9 @@
 			c.tick()
 		}
 	}
-	c.serveHeld()
+	if _, tick := event.(TickDue); tick || c.mayServeHeld() {
+		c.serveHeld()
+	}
 	if !c.tickScheduled {
 		c.tickScheduled = true
 		c.addAction(Schedule{After: tickInterval, Handle: 1})
@@ -548,6 +555,14 @@
 	}
 }
 
+// mayServeHeld reports whether held calls may be served at any event. A pass goes through all of them, so in a
+// crowd, which brings more events too, there is a pause between passes that grows with their number: otherwise
+// the passes would take all the time, and every answer would be late.
+func (c *Controller) mayServeHeld() bool {
+	n := len(c.held)
+	return n <= maxHeldServedAtOnce || c.now-c.servedAt >= time.Duration(n)*servePause
+}
+
 // serveHeld sends held calls in the order of their priority and ends those that cannot succeed any more. The
 // priority is the value of a call for the service score, which is higher for the class that is served worst.
 // Where circuits of the direct group are scarce, it is the value per circuit and second of holding time.
@@ -565,6 +580,7 @@
 		}
 	}
 	c.pass++
+	c.servedAt = c.now
 	worstClassWeight := min(max(c.settings.ScoreWeights.WorstClass, 0), 1)
 	for _, call := range c.held {
 		class := c.class(call)
--- a/controller_test.go
+++ b/controller_test.go
@@ -1456,3 +1456,47 @@
 		t.Errorf("the first call was sent %d times, want 1", sent)
 	}
 }
+
+// Guards against answers that come late beside a crowd: to go through thousands of held calls at every event takes all the time.
+func TestEventsInACrowdOfHeldCalls(t *testing.T) {
+	const crowd, events, during = 3000, 3000, 100 * ms
+	b := newBench(t, settings())
+	b.reportFree(2, 0)
+	for range crowd {
+		b.offer(2)
+	}
+	if n := len(b.controller.held); n != crowd {
+		t.Fatalf("%d calls are held", n)
+	}
+	before := b.controller.pass
+	for range events {
+		b.now += during / events
+		b.reportFree(2, 0)
+	}
+	if passes := b.controller.pass - before; passes > int(during/(crowd*servePause))+1 {
+		t.Errorf("%d passes over %d held calls in %v", passes, crowd, during)
+	}
+	usual := b.offer(1)
+	b.advance(tickInterval)
+	if b.attempts[usual] != 1 {
+		t.Errorf("a call to another exchange: %d attempts after a tick", b.attempts[usual])
+	}
+	b.reportFree(2, 1)
+	b.advance(tickInterval)
+	if n := len(b.sentAt[102]); n != 1 {
+		t.Errorf("a circuit became free: %d calls sent after a tick", n)
+	}
+}
+
+// A few held calls are served at once.
+func TestFewHeldCallsAreServedAtEveryEvent(t *testing.T) {
+	b := newBench(t, settings())
+	b.reportFree(2, 0)
+	for range maxHeldServedAtOnce {
+		b.offer(2)
+	}
+	b.reportFree(2, 1)
+	if n := len(b.sentAt[102]); n != 1 {
+		t.Errorf("a circuit became free: %d calls sent at once", n)
+	}
+}
