The time of a set-up counts from its last byte, also while it waits in the queue

Seen: beside a crowd a set-up that had waited in the queue of events was answered later than its time by as much. Cause: the caller's time was counted from when the set-up was handled. Change: the parser's reader notes when a set-up was read whole, and the wait is taken off its time. Result: TestWaitInTheQueueCountsForTheSetUp failed before ('9s left after 20.157253ms in the queue, of 9s') and passes now.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -274,6 +274,7 @@
 		}
 		if m.Method == "INVITE" {
 			c.queuedSetUps.add(m.Get("Call-ID"))
+			m.ReceivedAt = time.Now()
 		}
 		core.Post(func() {
 			c.dequeued(size)
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -846,3 +846,27 @@
 	s.removeLeg(calls[2].ID)
 	kept("the calls are over")
 }
+
+// Guards against late answers: the time of a set-up counts from its last byte, also while it waits in the queue.
+func TestWaitInTheQueueCountsForTheSetUp(t *testing.T) {
+	s := newCallers()
+	s.core.UpdateFarEnds(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready}},
+		unresponsive{})
+	peer := listen(t, s)()
+	const id, left = "9b1f03aa5c7e2d41", 9 * time.Second
+	if _, err := peer.Write(newInvite(id, "check", "9000", "dest:1", "v=0").Append(nil)); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(testTimeout); s.core.Queued() < 2; time.Sleep(time.Millisecond) { // the connection and the set-up
+		if time.Now().After(end) {
+			t.Fatal("the set-up was not read")
+		}
+	}
+	queuedAt := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	waited := time.Since(queuedAt)
+	s.core.Step()
+	if got := s.legs[id].call.TimeLeft; got > left-waited {
+		t.Errorf("%v left after %v in the queue, of %v", got, waited, left)
+	}
+}
--- a/internal/platform/invite.go
+++ b/internal/platform/invite.go
@@ -51,6 +51,9 @@
 		c.refuseBad(m, 400, "Bad Request")
 		return
 	}
+	if !m.ReceivedAt.IsZero() { // its time counts from its last byte, not from now: a crowd may have been before it in the queue
+		k.TimeLeft = max(k.TimeLeft-time.Since(m.ReceivedAt), 0)
+	}
 	head := m.CloneForResponses()
 	leg = &callLeg{call: k, conn: c, invite: head, size: len(k.Description), pending: true}
 	for _, h := range head.Headers {
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -7,6 +7,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // MaxMessageSize is the maximum size in bytes of a whole message, header and body.
@@ -29,6 +30,7 @@
 	Reason      string
 	Headers     []Header
 	Body        string
+	ReceivedAt  time.Time // when its last byte was read; zero: not known
 }
 
 // compactForms maps the compact header names of RFC 3261, section 7.3.3, to the full names, for the headers that the agent
