A far end is ready once a state of its group has been passed on, not received

In use, an agent that has just started could send more set-ups than its groups have circuits. Cause: the state is passed on from the first connection only, but one that came on the second connection, or before the result of its dial was handled, made the far end count as ready. Then the decision module knows nothing of the group and sends what comes. Change: ready is reported where the state is passed on.

--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -112,6 +112,7 @@
 	c.link, c.connectedAt = l, core.Now()
 	if c.groupState != nil && len(x.conns) == 0 {
 		core.Report(x.id, c.groupState) // it was received before the dial's result was handled
+		x.reportReady()
 	}
 	x.conns = append(x.conns, c)
 	x.checkForRestart(c.groupState)
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -476,14 +476,10 @@
 		}
 		c.handleStop(a, m)
 	case farend.Usage:
-		// A group's state is sent on every connection, so only the copy on the first one is reported. The second copy is
-		// older than the set-ups sent after the first; reported too, it would let as many go again, and they would find
-		// no free circuit.
-		if c.groupState = m.Report(core.Settings.ReportFields); c.groupState != nil && len(x.conns) > 0 && x.conns[0] == c {
-			core.Report(x.id, c.groupState)
-			x.checkForRestart(c.groupState)
+		c.groupState = m.Report(core.Settings.ReportFields)
+		if len(x.conns) > 0 && x.conns[0] == c {
+			x.handleGroupState(c.groupState)
 		}
-		x.reportReady()
 		for _, o := range x.conns {
 			if o != c {
 				o.noteMissedState(core.Now())
@@ -506,6 +502,17 @@
 	}
 }
 
+// handleGroupState passes on a state of the group. The state is sent on every connection, and only the copy on the first one is passed
+// on. The second copy is older than the set-ups sent after the first; passed on too, it would let as many go again, and they would
+// find no free circuit. So the far end is not ready either before the first one has brought it.
+func (x *farEnd) handleGroupState(state []float32) {
+	if state != nil {
+		x.farEnds.core.Report(x.id, state)
+		x.checkForRestart(state)
+	}
+	x.reportReady()
+}
+
 // noteMissedState counts a group state received on another connection. Each state is sent on all connections at nearly the
 // same time. Of two states counted on every other connection, one may have been received here first, but not both.
 func (c *farConn) noteMissedState(now time.Duration) {
