Callers: requests about calls that exist are in a file and functions of their own

Cause: handleMessage held the handling of ACK, CANCEL and BYE, with a timer inside, in a file of 450 lines. Moved otherwise.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -7,7 +7,6 @@
 	"maps"
 	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -318,98 +317,6 @@
 	}
 }
 
-func (c *callerConn) handleMessage(m *sip.Message) {
-	c.markActive()
-	s := c.callers
-	id := m.Get("Call-ID")
-	leg := s.legs[id]
-	c.gotNonOptions = c.gotNonOptions || m.Method != "OPTIONS"
-	if m.Status != 0 {
-		if m.CSeqMethod() == "BYE" && m.Status >= 200 && leg != nil && leg.bye != nil {
-			s.handleByeResponse(c, leg, m.Status)
-		}
-		return
-	}
-	switch m.Method {
-	case "INVITE":
-		s.handleInvite(c, id, m)
-	case "ACK":
-		if leg != nil {
-			leg.acked = true
-			if !c.gotACK && !leg.pending {
-				c.gotACK = true
-				s.resendByes()
-			}
-		}
-	case "CANCEL":
-		if leg == nil || leg.pending && leg.conn != c { // a set-up belongs to its connection, an established call to none
-			s.answerUnknownCall(c, id, m)
-			return
-		}
-		c.send(m.Response(200, "OK", ""))
-		if leg.bye != nil {
-			return
-		}
-		if leg.pending {
-			s.finish(id)
-			s.core.Abandoned(leg.call)
-			leg.conn.send(leg.invite.Response(487, "Request Terminated", ""))
-			return
-		}
-		// The CANCEL crossed the answer. A caller that accepted the answer sends an ACK; one that did not sends nothing
-		// more, and the call must not stay established forever.
-		if !leg.acked {
-			s.core.After(ackTimeout, func() {
-				if k := leg.call; s.legs[id] == leg && !leg.acked && leg.bye == nil && k.Established() {
-					// The caller may have accepted the answer, its ACK being lost or late. Without a BYE it would keep the call
-					// established.
-					s.core.Hangup(k, 16)
-					s.Release(k, 16)
-				}
-			})
-		}
-	case "BYE":
-		if leg == nil {
-			s.answerUnknownCall(c, id, m)
-			return
-		}
-		c.send(m.Response(200, "OK", ""))
-		if leg.bye != nil || leg.call.Established() {
-			s.finish(id)
-			if leg.bye == nil {
-				s.core.Hangup(leg.call, parseCause(m.Get("Reason")))
-			}
-		}
-	case "OPTIONS":
-		s.handleOptions(c, m)
-	default:
-		c.refuseBad(m, 405, "Method Not Allowed", sip.Header{Name: "Allow", Value: "INVITE, ACK, CANCEL, BYE, OPTIONS"})
-	}
-}
-
-// answerUnknownCall answers a request for a call that does not exist: with 200 if the call is finished, else with 481.
-func (s *Callers) answerUnknownCall(c *callerConn, id string, m *sip.Message) {
-	if _, ok := s.finished[id]; ok {
-		s.core.Metrics.Duplicates.Inc()
-		c.send(m.Response(200, "OK", ""))
-		return
-	}
-	s.core.Metrics.StrayMessages.Inc()
-	c.send(m.Response(481, "Call/Transaction Does Not Exist", ""))
-}
-
-// parseCause reads Q.850;cause=N of a Reason header (RFC 3326). Without a cause it returns 16, normal clearing.
-func parseCause(reason string) int {
-	for _, p := range strings.Split(reason, ";") {
-		if v, ok := strings.CutPrefix(strings.TrimSpace(p), "cause="); ok {
-			if n, err := strconv.Atoi(v); err == nil {
-				return n
-			}
-		}
-	}
-	return 16
-}
-
 // Answer notifies the caller that its call is established.
 func (s *Callers) Answer(k *agent.Call, description string) {
 	leg := k.Leg.(*callLeg)
