--- a/controller.go
+++ b/controller.go
@@ -30,7 +30,8 @@
 	tickInterval      = 20 * time.Millisecond  // how often held calls and timeouts are examined
 	maxAveragingTime  = 10 * time.Second       // upper bound of averagingTime; default holding time
 
-	// With more held calls than this they are not served at every event, but after a pause of so much for each.
+	// With more held calls than this they are not served at every event, but after a pause of so much
+	// for each.
 	maxHeldServedAtOnce = 500
 	servePause          = time.Microsecond
 )
@@ -555,9 +556,9 @@
 	}
 }
 
-// mayServeHeld reports whether held calls may be served at any event. A pass goes through all of them, so in a
-// crowd, which brings more events too, there is a pause between passes that grows with their number: otherwise
-// the passes would take all the time, and every answer would be late.
+// mayServeHeld reports whether held calls may be served at any event. A pass goes through all of them, so in
+// a crowd, which brings more events too, there is a pause between passes that grows with their number:
+// otherwise the passes would take all the time, and every answer would be late.
 func (c *Controller) mayServeHeld() bool {
 	n := len(c.held)
 	return n <= maxHeldServedAtOnce || c.now-c.servedAt >= time.Duration(n)*servePause
