Rig: a change that is told while a set-up is out may end its call after the answer

The records: set-up written at 6.707257 s, events 41 and 42 ('gone' and its successor at the address) delivered at 6.733417 and 6.733425, the call answered at 6.733509, released at 6.736931; the agent's log handles the answer 12 microseconds before event 41. So the list told of the end of the call's process while its set-up was out, and ending it is right. The rule excused only what was told after the answer. Change: it excuses what is told from when the set-up was written. What was told before stays a violation.

--- a/internal/faultrig/checker_test.go
+++ b/internal/faultrig/checker_test.go
@@ -35,6 +35,9 @@
 	heard := func(t time.Duration) Event { return at(t, Event{Kind: ReleaseHeard, Call: "c"}) }
 	drained := at(time.Second, Event{Kind: ListChanged, FarEnd: "f", Value: 41, Note: stateDraining})
 	told := func(t time.Duration) Event { return at(t, Event{Kind: ListDelivered, Agent: "n", Value: 41}) }
+	changed := func(t time.Duration) Event {
+		return at(t, Event{Kind: ListChanged, FarEnd: "f", Value: 41, Note: stateGone})
+	}
 	written := func(t time.Duration) Event {
 		return at(t, Event{Kind: SetUpWritten, Call: "c", FarEnd: "f", Agent: "n", Connection: 1})
 	}
@@ -84,6 +87,10 @@
 			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), drained, told(1010*ms), heard(1100*ms), callEnded)},
 		{"call cut before the agent is told of a change", NotCut, true,
 			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), drained, heard(1100*ms), told(1110*ms), callEnded)},
+		{"call cut after a change that was told while its set-up was out", NotCut, false, append(setUp(2*ms, "f", 1), taken,
+			changed(3*ms), told(5*ms), lost, answer(20*ms), heard(21*ms), callEnded)},
+		{"call cut after a change that was told before its set-up was written", NotCut, true, append(setUp(2*ms, "f", 1), taken,
+			changed(ms), told(1500*time.Microsecond), lost, answer(20*ms), heard(21*ms), callEnded)},
 		{"call released after its end", NotCut, false,
 			append(setUp(2*ms, "f", 1), taken, lost, answer(20*ms), callEnded, heard(2100*ms))},
 		{"sent again after a reset", SingleShot, true, slices.Concat([]Event{single}, setUp(ms, "f", 1), []Event{ended(9*ms, 0)}, setUp(10*ms, "g", 2))},
--- a/internal/faultrig/standing.go
+++ b/internal/faultrig/standing.go
@@ -34,19 +34,22 @@
 	released := slices.IndexFunc(events, func(e Event) bool { return e.Kind == ReleaseHeard })
 	made := slices.IndexFunc(events, func(e Event) bool { return e.Kind == DescribedBy })
 	attempts := 0
+	var writtenAt time.Duration
 	for _, e := range events {
 		if e.Kind == SetUpWritten {
 			attempts++
+			writtenAt = e.At
 		}
 	}
 	if released < 0 || made < 0 || attempts != 1 {
 		return
 	}
-	at, farEnd := events[released].At, events[made].FarEnd
+	// What an agent is told while the set-up is out, it may handle after the answer.
+	at, farEnd, agent := events[released].At, events[made].FarEnd, agentThatTook(events)
 	excused := slices.ContainsFunc(events[:released], func(e Event) bool {
 		return e.Kind == CallEnded || e.Kind == RequestGivenUp || e.Kind == CallerHangup
 	})
-	if !excused && !c.toldOfChange(agentThatTook(events), farEnd, events[made].At, at) && !c.stoppedBetween(agentThatTook(events), events[made].At, at) {
+	if !excused && !c.toldOfChange(agent, farEnd, writtenAt, at) && !c.stoppedBetween(agent, events[made].At, at) {
 		c.report(NotCut, call, events, "released towards its caller at %v while it stood at %s", at, farEnd)
 	}
 }
