Test that a far end whose machine has vanished is noticed in time

Change: TestVanishedFarEnd; its standing call has to be released towards its caller after 5 to 7 s. The product is as it was.

--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,6 +222,40 @@
 	}
 }
 
+// Guards against a call left standing towards its caller: the machine of a far end has vanished, so its connections stay open and silent,
+// and no other comes up.
+func TestVanishedFarEnd(t *testing.T) {
+	f := newSteppedFixture(t)
+	f.open()
+	f.standingCall()
+	addr := f.listener.Addr().String()
+	f.listener.Close()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
+		t.Fatal(err)
+	}
+	filler, err := net.Dial("tcp", addr) // fills the queue: what comes next is dropped
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filler.Close()
+	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
+	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second || took < unresponsiveTimeout {
+		t.Errorf("%v until the release", took)
+	}
+	if got := f.nextAnswer(); got != "released 41" {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // Guards against calls that are cut: a far end that hangs answers no health check, however long, but its machine accepts connections.
 func TestHangingFarEndKeepsItsCalls(t *testing.T) {
 	f := newSteppedFixture(t)
