A connection's owner learns of it once netpoll has registered it

In service a close within microseconds of the accept could end the process.

Cause: the owner learned of a connection in OnPrepare, before netpoll registers it, and could close it on the loop's goroutine meanwhile. netpoll then used an operator that the close had released.

Change: the owner learns of it in OnConnect, after the registration.

Result: TestOwnerLearnsOfRegisteredConnection fails before ("the owner learned of a connection that was not registered") and passes after.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -7,7 +7,10 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -162,6 +165,76 @@
 	<-done
 }
 
+// Guards against a crash: the owner may close a connection on another goroutine as soon as it learns of it. If netpoll registered it with
+// its poller only then, it would use what the close has released.
+func TestOwnerLearnsOfRegisteredConnection(t *testing.T) {
+	registered := make(chan bool, 1)
+	l, err := Listen("127.0.0.1:0", 1, maxQueued, func(c *Conn) Handler {
+		registered <- isPolled(c.np.(netpoll.Conn).Fd())
+		return discardHandler{make(chan struct{})}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Serve()
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if !<-registered {
+		t.Error("the owner learned of a connection that was not registered")
+	}
+}
+
+// isPolled reports whether an epoll instance of the process waits for events of a file descriptor.
+func isPolled(fd int) bool {
+	files, _ := filepath.Glob("/proc/self/fdinfo/*")
+	for _, file := range files {
+		info, _ := os.ReadFile(file) // a file that was closed meanwhile has no information
+		for line := range strings.Lines(string(info)) {
+			if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "tfd:" && fields[1] == strconv.Itoa(fd) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Guards against a crash, and in a race build against a race: connections are closed as soon as their owner learns of them.
+func TestCloseAsSoonAsAccepted(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	closed := make(chan struct{}, 1)
+	l, err := Listen("127.0.0.1:0", 1000, maxQueued, func(c *Conn) Handler {
+		accepted <- c
+		return notifyingHandler{closed}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Serve()
+	defer l.Close()
+	for range 200 {
+		peer, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		(<-accepted).Close()
+		<-closed
+		if _, err := peer.Read(make([]byte, 1)); err == nil {
+			t.Error("read from a closed connection")
+		}
+		peer.Close()
+	}
+}
+
+// notifyingHandler consumes all input, and sends to its channel when a connection ends.
+type notifyingHandler struct{ closed chan struct{} }
+
+func (h notifyingHandler) Data(_ *Conn, b []byte) (int, error) { return len(b), nil }
+func (h notifyingHandler) Closed(*Conn)                        { h.closed <- struct{}{} }
+
 // Connections above the limit must be closed at once, or they use up the file descriptors; the others must stay open.
 func TestConnectionLimit(t *testing.T) {
 	l, err := Listen("127.0.0.1:0", 1, maxQueued, func(*Conn) Handler { return discardHandler{make(chan struct{})} })
--- a/internal/link/listener.go
+++ b/internal/link/listener.go
@@ -95,9 +95,13 @@
 			})
 			if l.openConns.Load() > l.maxConns.Load() {
 				_ = np.Close()
-				return context.Background()
 			}
-			return context.WithValue(context.Background(), key{}, newConn(np, maxQueued, accept))
+			return context.Background()
+		}),
+		// The owner learns of the connection here and not in OnPrepare, since it may close it at once on another goroutine. Between the
+		// two, netpoll registers the connection with its poller, and would use what the close has released.
+		netpoll.WithOnConnect(func(ctx context.Context, np netpoll.Connection) context.Context {
+			return context.WithValue(ctx, key{}, newConn(np, maxQueued, accept))
 		}))
 	if err != nil {
 		ln.Close()
