The first state on a new connection is not missed on the others

Impact: a sound, quiet connection to a far end was closed as stalled when two others were opened; its pending set-ups were ended and sent again.

Cause: states of the group that come on other connections count as missed, also the first one on a new connection, which is sent there alone.

Change: only later states count (farConn.handleUsage).

Result: TestStatesOfNewConnectionsAreNotMissed fails before ("1 connections were taken for stalled") and passes after.

--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -79,7 +79,8 @@
 	missLimitAt  time.Duration
 	pending      int          // set-ups on it that have no answer yet
 	queuedBytes  atomic.Int64 // bytes of lines received and not handled yet
-	groupState   []float32    // the last state of the circuit group received here
+	gotState     bool         // a state of the circuit group was received here
+	groupState   []float32    // the last one
 	unconfirmed  []release    // sent on it and not confirmed by the far end
 }
 
@@ -476,15 +477,7 @@
 		}
 		c.handleStop(a, m)
 	case farend.Usage:
-		c.groupState = m.Report(core.Settings.ReportFields)
-		if len(x.conns) > 0 && x.conns[0] == c {
-			x.handleGroupState(c.groupState)
-		}
-		for _, o := range x.conns {
-			if o != c {
-				o.noteMissedState(core.Now())
-			}
-		}
+		c.handleUsage(m.Report(core.Settings.ReportFields))
 	case farend.Checked:
 		at, ok := x.checkSentAt[m.UID]
 		if !ok {
@@ -502,6 +495,24 @@
 	}
 }
 
+// handleUsage handles a state of the group. The first one on a connection is sent on that one alone, and the later ones on all.
+func (c *farConn) handleUsage(state []float32) {
+	x := c.farEnd
+	sentOnAll := c.gotState
+	c.gotState, c.groupState = true, state
+	if len(x.conns) > 0 && x.conns[0] == c {
+		x.handleGroupState(state)
+	}
+	if !sentOnAll {
+		return
+	}
+	for _, o := range x.conns {
+		if o != c {
+			o.noteMissedState(x.farEnds.core.Now())
+		}
+	}
+}
+
 // handleGroupState passes on a state of the group. The state is sent on every connection, and only the copy on the first one is passed
 // on. The second copy is older than the set-ups sent after the first; passed on too, it would let as many go again, and they would
 // find no free circuit. So the far end is not ready either before the first one has brought it.
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// Guards against set-ups that are ended with a sound connection: the first state on a new connection is sent on no other, so a quiet one
+// that does not bring it is not stalled.
+func TestStatesOfNewConnectionsAreNotMissed(t *testing.T) {
+	f := newSteppedFixture(t)
+	conns := f.open()
+	lost := conns[1]
+	for range 2 * maxConnsPerFarEnd {
+		f.onLoop(func() {
+			_ = lost.Conn.(*net.TCPConn).SetLinger(0)
+			lost.Close()
+		})
+		f.waitFor("no connection was opened", true, func(*farEnd) bool { return len(f.conns) > 0 })
+		lost = f.nextConn()
+		f.advance(2 * stallTimeout)
+	}
+	if n := f.core.Metrics.StalledLinks.Value(); n > 0 {
+		t.Errorf("%d connections were taken for stalled", n)
+	}
+}
+
 // Guards against calls that are cut: an agent that was itself stopped has heard nothing meanwhile, which says nothing of its far ends.
 func TestStoppedAgentKeepsItsCalls(t *testing.T) {
 	f := newSteppedFixture(t)
