--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -299,6 +299,21 @@
 	}
 }
 
+// Guards against set-ups without an answer: a connection that brings nothing while later states come on the other one is closed.
+func TestStalledConnectionIsClosed(t *testing.T) {
+	f := newSteppedFixture(t)
+	conns := f.open()
+	for range 2 {
+		conns[1].sendState(testCircuits)
+	}
+	f.waitFor("the states were not handled", false, func(x *farEnd) bool { return x.conns[0].missedStates+x.conns[1].missedStates == 2 })
+	f.advance(stallTimeout + 2*sweepInterval)
+	f.waitFor("the connection was not closed", false, func(*farEnd) bool { return f.core.Metrics.LinksLost.Value() > 0 })
+	if n := f.core.Metrics.StalledLinks.Value(); n != 1 {
+		t.Errorf("%d connections were taken for stalled", n)
+	}
+}
+
 // Guards against calls that are cut: an agent that was itself stopped has heard nothing meanwhile, which says nothing of its far ends.
 func TestStoppedAgentKeepsItsCalls(t *testing.T) {
 	f := newSteppedFixture(t)
