A lost connection to a far end is replaced, so that lost releases come again

Cause: a far end sends a release again "on the next one that is opened", and the agent opened none while enough connections were open, or had opened them before the far end noticed the loss.

The counter links_fresh_total shows how often.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -39,7 +39,7 @@
 	Probes, Reports, Launches                                       *Counter
 	FarEndsListed, FarEndsAvoided, Drains                           *Counter
 	LinksUp, LinksLost, DialsFailed, IdleLinks                      *Counter
-	StalledLinks                                                    *Counter
+	StalledLinks, FreshLinks                                        *Counter
 	ListEvents, ListGaps, ListReconnects                            *Counter
 	Reloads, ReloadsFailed                                          *Counter
 	Malformed, StrayMessages, Duplicates                            *Counter
@@ -117,6 +117,7 @@
 	add(&s.DialsFailed, "dials_failed_total", "connections to far ends that did not come up")
 	add(&s.IdleLinks, "links_silent_total", "connections closed because nothing was heard on them")
 	add(&s.StalledLinks, "links_stuck_total", "connections closed because they stayed open and were of no more use")
+	add(&s.FreshLinks, "links_fresh_total", "connections to far ends asked for since a lost one may have taken releases with it")
 	add(&s.ListEvents, "list_events_total", "events of the change log applied")
 	add(&s.ListGaps, "list_gaps_total", "events of the change log that were missed or came twice")
 	add(&s.ListReconnects, "list_reconnects_total", "connections opened to the change log")
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -24,7 +24,7 @@
 	x.dials++
 	x.lastDialAt = f.core.Now()
 	addr, timeout := x.addr, f.dialTimeout
-	c := &farConn{farEnd: x}
+	c := &farConn{farEnd: x, dialedAt: x.lastDialAt}
 	again := f.core.After(slowDialTime, func() {
 		if f.byID[x.id] == x {
 			x.dial(limit)
@@ -88,7 +88,7 @@
 	x.redialAt = x.farEnds.core.Now() + delay
 	x.farEnds.core.At(x.redialAt, func() {
 		if x.farEnds.byID[x.id] == x {
-			x.dial(connsWanted)
+			x.dial(x.wantedConns())
 		}
 	})
 }
@@ -115,6 +115,7 @@
 		x.reportReady()
 	}
 	x.conns = append(x.conns, c)
+	x.freshConn.opened(c.dialedAt)
 	x.checkForRestart(c.groupState)
 	x.restartSilence()
 	x.farEnds.log.Debug("connection to far end opened", zap.String("far", x.addr), zap.Int("connections", len(x.conns)),
@@ -127,5 +128,5 @@
 		core.Stop(a.Leg.(*attemptLeg).expiry)
 		c.sendLaunch(a)
 	}
-	x.dial(connsWanted)
+	x.dial(x.wantedConns())
 }
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -64,6 +64,7 @@
 	waiting        []*agent.Attempt          // attempts waiting for a connection
 	queuedReleases []release                 // releases waiting for a connection
 	lostAt         time.Duration             // end of the last connection, if none is left
+	freshConn      freshConn                 // a connection that is opened for lost releases
 	refused        bool                      // a connection was refused since then
 	checkSentAt    map[string]time.Duration  // send times of the check lines without an answer, by UID
 }
@@ -72,6 +73,7 @@
 type farConn struct {
 	farEnd      *farEnd
 	link        *link.Conn
+	dialedAt    time.Duration // start of its dial
 	connectedAt time.Duration
 	closed      bool
 	// group states received on the other connections since the last line on this one, and when they became too many
@@ -441,7 +443,7 @@
 		x.endAttempt(a, tinbeam.NoteLinkLost)
 	}
 	c.repeatReleases()
-	x.dial(connsWanted)
+	x.replaceLostConn()
 }
 
 // handleLine handles one line from the far end.
@@ -550,7 +552,7 @@
 			c.link.Close()
 		}
 	}
-	x.dial(connsWanted)
+	x.dial(x.wantedConns())
 	for uid, at := range x.checkSentAt {
 		if core.Now()-at > unresponsiveTimeout {
 			delete(x.checkSentAt, uid)
