A far end that hangs at its connection limit keeps its calls

Impact: calls that stood at a far end whose process hung for more than 5 s, and which held all the connections it accepts, were released towards their callers.

Cause: a refused connection counted as no sign of life. A machine that has vanished or is cut off refuses nothing ("new ones never come up"), and a process that has died takes its open connections with it.

Change: a refusal as the result of a health check, while connections are open, ends the silence. The check goes out on every connection, since a machine that has only taken over the address resets those.

Result: TestHangingFarEndAtItsConnectionLimit fails before ("the caller got released 41") and passes after; for the other direction TestVanishedFarEndWhoseAddressRefuses, which fails with a refusal that always counts and a check on one connection.

--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -72,7 +72,11 @@
 		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.silentSince))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
-	if !refused || len(x.conns) > 0 {
+	if !refused {
+		return
+	}
+	if len(x.conns) > 0 {
+		x.refusedWithConns()
 		return
 	}
 	x.refused = true
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -362,14 +362,20 @@
 	}
 }
 
+// sendCheck sends a test line on the least loaded connection, and reports whether there is one.
 func (x *farEnd) sendCheck() bool {
 	c := x.leastLoaded()
 	if c == nil {
 		x.dial(connsWanted)
 		return false
 	}
+	return c.sendCheck()
+}
+
+// sendCheck sends a test line on the connection.
+func (c *farConn) sendCheck() bool {
 	uid := fmt.Sprintf("%016x", rand.Uint64())
-	x.checkSentAt[uid] = x.farEnds.core.Now()
+	c.farEnd.checkSentAt[uid] = c.farEnd.farEnds.core.Now()
 	return c.link.Send((&farend.Message{Kind: farend.Check, UID: uid}).Append(nil), nil)
 }
 
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -39,7 +39,8 @@
 	lines    chan peerLine  // received by the far end
 	answers  chan string    // given to the caller
 
-	freeCircuits atomic.Int32 // of testCircuits, in the first state on a connection
+	freeCircuits atomic.Int32    // of testCircuits, in the first state on a connection
+	onCheck      func(*peerConn) // called when the far end receives a test line, which it does not answer; nil: nothing
 }
 
 // testCircuits is the size of the circuit group.
@@ -142,8 +143,13 @@
 					f.lines <- peerLine{c, nil, time.Now()}
 					return
 				}
-				if m, _, err := farend.Parse(line); err == nil && m.Kind != farend.Check {
+				m, _, err := farend.Parse(line)
+				switch {
+				case err != nil:
+				case m.Kind != farend.Check:
 					f.lines <- peerLine{c, m, time.Now()}
+				case f.onCheck != nil:
+					f.onCheck(c)
 				}
 			}
 		}()
--- a/internal/platform/silence.go
+++ b/internal/platform/silence.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,13 +41,23 @@
 	}
 }
 
-// startHealthCheck sends a health check, and opens a connection.
+// startHealthCheck sends a health check on every connection, and opens one. A machine that does not know a connection resets it.
 func (x *farEnd) startHealthCheck() {
 	x.checkedAt = x.farEnds.core.Now()
-	x.sendCheck()
+	for _, c := range slices.Clone(x.conns) {
+		c.sendCheck()
+	}
 	x.openTestConn()
 }
 
+// refusedWithConns handles a connection that was refused while others are open. As the result of a health check it shows that the machine
+// is there; a process that has ended takes its connections with it, so this one hangs and holds all the connections that it accepts.
+func (x *farEnd) refusedWithConns() {
+	if x.checkedAt != 0 {
+		x.restartSilence()
+	}
+}
+
 // giveUp ends the attempts and calls at a far end that has neither answered a health check nor accepted a connection, and closes its
 // connections. A machine that is gone or cut off does that; its connections stay open, and no new one comes up.
 func (x *farEnd) giveUp(silent time.Duration) {
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -279,6 +279,46 @@
 	}
 }
 
+// Guards against calls that are cut: a far end that hangs and holds all the connections that it accepts refuses the next one. Its machine
+// answers, and its process has not ended, since the connections stay open.
+func TestHangingFarEndAtItsConnectionLimit(t *testing.T) {
+	f := newSteppedFixture(t)
+	f.open()
+	f.standingCall()
+	f.listener.Close()
+	for range 80 {
+		f.advance(sweepInterval)
+	}
+	if len(f.answers) > 0 {
+		t.Errorf("the caller got %q", <-f.answers)
+	}
+}
+
+// Guards against a call left standing towards its caller: the machine of a far end has vanished, and the one that has its address now
+// refuses connections. It knows none of the open ones either, which the health check shows.
+func TestVanishedFarEndWhoseAddressRefuses(t *testing.T) {
+	f := newSteppedFixture(t)
+	conns := f.open()
+	f.standingCall()
+	f.listener.Close()
+	checks := make(chan struct{}, connsWanted)
+	f.onCheck = func(c *peerConn) {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+		checks <- struct{}{}
+	}
+	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
+	if took := time.Duration(f.clock.Load()) - time.Hour; took > lostReleaseTime {
+		t.Errorf("%v until the release", took)
+	}
+	if len(checks) != len(conns) {
+		t.Errorf("%d of %d connections were checked", len(checks), len(conns))
+	}
+	if got := f.nextAnswer(); got != "released 41" {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
 // Guards against set-ups that are ended with a sound connection: the first state on a new connection is sent on no other, so a quiet one
 // that does not bring it is not stalled.
 func TestStatesOfNewConnectionsAreNotMissed(t *testing.T) {
