A refusal at a health check is followed by a check on every connection

Change: as before one check at first; the others follow when a connection is refused beside open ones.

--- a/internal/platform/silence.go
+++ b/internal/platform/silence.go
@@ -41,20 +41,23 @@
 	}
 }
 
-// startHealthCheck sends a health check on every connection, and opens one. A machine that does not know a connection resets it.
+// startHealthCheck sends a health check, and opens a connection.
 func (x *farEnd) startHealthCheck() {
 	x.checkedAt = x.farEnds.core.Now()
-	for _, c := range slices.Clone(x.conns) {
-		c.sendCheck()
-	}
+	x.sendCheck()
 	x.openTestConn()
 }
 
 // refusedWithConns handles a connection that was refused while others are open. As the result of a health check it shows that the machine
-// is there; a process that has ended takes its connections with it, so this one hangs and holds all the connections that it accepts.
+// is there; a process that has ended takes its connections with it, so this one hangs and holds all the connections that it accepts. If
+// another machine has the address now, it resets the open connections once something is sent on them.
 func (x *farEnd) refusedWithConns() {
-	if x.checkedAt != 0 {
-		x.restartSilence()
+	if x.checkedAt == 0 {
+		return
+	}
+	x.restartSilence()
+	for _, c := range slices.Clone(x.conns) {
+		c.sendCheck()
 	}
 }
 
