A call's next attempt waits until a gateway has answered the DLCX of the last

Impact: after a gateway's RSIP a call could be set up at a second line while the CRCX for the first was still under way; it could stand twice.

Cause: the gateway side said that no release has to be waited for, since a DLCX is repeated until it is answered; that it was sent proves nothing.

Change: ReleasedAt reports the DLCX that is not answered, so the core holds the next attempt back; the DLCX goes out before the end is reported.

Result: TestNextAttemptWaitsForTheDelete fails before ("a second attempt before the DLCX of the first was answered") and passes after.

--- a/internal/mgcp/clear_test.go
+++ b/internal/mgcp/clear_test.go
@@ -23,12 +23,17 @@
 }
 
 func newGatewayFixture(t *testing.T) *gatewayFixture {
+	return newGatewayFixtureWith(t, 1, "aaln/1")
+}
+
+// newGatewayFixtureWith returns a fixture whose calls have so many attempts, and whose gateway has the lines.
+func newGatewayFixtureWith(t *testing.T, attempts int, lines ...string) *gatewayFixture {
 	g := &gatewayFixture{T: t, now: time.Hour}
-	settings := tinbeam.Settings{Replicas: 1, MaxAttempts: 1, ReportFields: []string{"idle", "circuits"}, Classes: []tinbeam.Class{{
+	settings := tinbeam.Settings{Replicas: 1, MaxAttempts: attempts, ReportFields: []string{"idle", "circuits"}, Classes: []tinbeam.Class{{
 		Name: "check", AnswerTarget: 8 * time.Second, HardLimit: 20 * time.Second, Value: 1, Width: 1, RepeatPolicy: "free"}}}
 	loop := agent.NewLoop(func() time.Duration { return g.now })
 	g.core = agent.New(loop, settings, 1, 64<<20, metrics.New(), zap.NewNop(), nil)
-	config := Config{Gateways: []Gateway{{Name: "g", Address: gatewayAddr.String(), ID: 9, Exchange: 5, Lines: []string{"aaln/1"}, Class: "check"}}}
+	config := Config{Gateways: []Gateway{{Name: "g", Address: gatewayAddr.String(), ID: 9, Exchange: 5, Lines: lines, Class: "check"}}}
 	g.front = New(g.core, zap.NewNop(), config, 1, func(_ netip.AddrPort, b []byte) {
 		list, err := Parse(b)
 		if err != nil {
@@ -90,3 +95,29 @@
 		t.Errorf("%d calls answered", caller.answered)
 	}
 }
+
+// Guards against a call that runs twice: a gateway that tells of a restart may get the CRCX of an attempt only afterwards. The next attempt
+// waits until the DLCX is answered.
+func TestNextAttemptWaitsForTheDelete(t *testing.T) {
+	for _, unreachable := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+		g, caller := newGatewayFixtureWith(t, 4, "aaln/1", "aaln/2"), &testCaller{}
+		g.answer("")
+		g.core.Offer(caller.newCall(1))
+		if n := g.drop("CRCX"); n != 1 {
+			t.Fatalf("%d attempts", n)
+		}
+		g.front.HandleDatagram(gatewayAddr, []byte("RSIP 901 *@g MGCP 1.0\nRM: restart\n"))
+		if n := g.drop("DLCX"); n != 1 {
+			t.Fatalf("%d connections deleted", n)
+		}
+		g.pass(unreachable, func() {
+			if g.drop("CRCX") > 0 {
+				t.Fatalf("unreachable for %v: a second attempt before the DLCX of the first was answered", unreachable)
+			}
+		})
+		g.pass(6*time.Second, func() { g.answer("") })
+		if caller.answered != 1 {
+			t.Errorf("unreachable for %v: %d calls answered", unreachable, caller.answered)
+		}
+	}
+}
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -74,7 +74,8 @@
 	name     string // full endpoint name, including the gateway's domain
 	caller   *callerLeg
 	called   *calledLeg
-	closing  bool // a DLCX is pending; the line is not free until the response arrives
+	closing  bool   // a DLCX is pending; the line is not free until the response arrives
+	deleting string // ID of the call whose connection that DLCX deletes
 	requests notificationRequests
 	offHook  bool // a caller has lifted the receiver while the gateway is being cleared, and waits for the dial tone
 }
@@ -315,13 +316,14 @@
 // is pending is a DLCX sent: the CRCX may reach the gateway after its restart and create a connection.
 func (f *FrontEnd) endWithoutDelete(l *line, code tinbeam.Code, cause int) {
 	called, caller := l.called, l.caller
-	l.called, l.caller, l.closing = nil, nil, false
+	l.called, l.caller = nil, nil
+	f.deleted(l)
 	if called != nil && !called.ended {
 		called.ended = true
-		f.core.Ended(called.attempt, code, 0, nil, cause)
-		if called.create != nil {
+		if called.create != nil { // before the end is reported, since the next attempt waits for it
 			f.clear(l, called.attempt.Call.ID, "", called.create)
 		}
+		f.core.Ended(called.attempt, code, 0, nil, cause)
 	}
 	if caller != nil && !caller.ended {
 		caller.ended = true
@@ -413,7 +415,7 @@
 func (f *FrontEnd) clear(l *line, callID, connID string, create *transaction) {
 	f.tx.stopRetransmitting(create)
 	markFree := func(*Message) {
-		l.closing = false
+		f.deleted(l)
 		f.reportFreeLines(l.gw)
 	}
 	if callID == "" {
@@ -421,7 +423,7 @@
 		f.requestOffHook(l)
 		return
 	}
-	l.closing = true
+	l.closing, l.deleting = true, callID
 	m := (&Message{Verb: "DLCX", Endpoint: l.name}).AddParam("C", callID)
 	if connID != "" {
 		m.AddParam("I", connID)
@@ -430,6 +432,12 @@
 	f.reportFreeLines(l.gw)
 }
 
+// deleted records that a line has no connection any more.
+func (f *FrontEnd) deleted(l *line) {
+	l.closing, l.deleting = false, ""
+	f.core.ReleasesSent()
+}
+
 // deleteOrphan deletes a connection that a CRCX created after its call was over. r is the late response to the CRCX.
 func (f *FrontEnd) deleteOrphan(l *line, callID string, r *Message) {
 	if r == nil || r.Code >= 300 {
@@ -620,8 +628,12 @@
 	f.clear(leg.line, a.Call.ID, leg.connID, leg.create)
 }
 
-// ReleasedAt reports that a release is never kept back: a DLCX is sent at once, and again until the gateway answers it.
-func (f farEndSide) ReleasedAt(*agent.Attempt) (time.Duration, bool) { return 0, true }
+// ReleasedAt reports whether the gateway has answered the DLCX of an attempt that has ended: the CRCX may have been executed, and both
+// its response and the DLCX lost. Nothing has to be waited for after the answer.
+func (f farEndSide) ReleasedAt(a *agent.Attempt) (time.Duration, bool) {
+	leg, ok := a.Leg.(*calledLeg)
+	return 0, !ok || leg.line.deleting != a.Call.ID
+}
 
 // Probe answers a load probe at once: MGCP has no command for it, and the front end knows the gateway's free lines.
 func (f farEndSide) Probe(id uint32) {
