Rig: losses that a far end notices late while it accepts others, hangs at a limit

Cause: the rig lost connections only where the far end then accepted no others, and its far ends hung for 5 s at most and never at a limit. It saw neither a release sent on a lost connection nor the calls of such a far end cut. Rules and bounds are unchanged.

--- a/internal/faultrig/plan.go
+++ b/internal/faultrig/plan.go
@@ -46,7 +46,7 @@
 
 	// callers send nothing for a while, so that far ends have nothing to say
 	StepQuiet StepKind = "quiet"
-	// all connections to a far end are lost under a set-up; the far end notices later, and accepts no others until then
+	// all connections to a far end are lost under a set-up; the far end notices later
 	StepLoseLinks StepKind = "lose links"
 )
 
@@ -59,6 +59,8 @@
 	Lasts    time.Duration // until it is lifted
 	Fault    linkFault     // of a link fault
 	Repeated int           // how often, for reloads; how often more, for restarts; callers of a crowd
+
+	Accepting bool // a far end with lost connections accepts others before it notices the loss
 }
 
 func (s Step) String() string {
@@ -101,6 +103,8 @@
 		plan.add(d, Step{Kind: StepCrowd, Site: d.IntN(plan.Agents), Repeated: []int{30, 50, 150}[d.IntN(3)],
 			Lasts: d.between(time.Second, 3*time.Second)})
 	}
+	plan.addLateNotices(d)
+	plan.addFullHang(d)
 	slices.SortStableFunc(plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -161,6 +165,26 @@
 	}
 }
 
+// addLateNotices adds losses of all connections to a far end that accepts others before it notices, and goes on sending on the lost ones.
+func (p *Plan) addLateNotices(d draw) {
+	for range d.IntN(3) {
+		p.add(d, Step{Kind: StepLoseLinks, Site: everySite, FarEnd: d.IntN(p.FarEnds), Lasts: d.between(10*time.Millisecond, 4*time.Second),
+			Accepting: true})
+	}
+}
+
+// addFullHang adds a far end that hangs for longer than it may be silent while it holds all the connections that it accepts.
+func (p *Plan) addFullHang(d draw) {
+	if d.Float64() < 0.7 {
+		return
+	}
+	hang := Step{At: d.between(warmUp, p.Duration/2), Kind: StepHang, Site: everySite, FarEnd: d.IntN(p.FarEnds),
+		Lasts: d.between(5*time.Second, 9*time.Second)}
+	p.add(d, hang)
+	p.add(d, Step{At: hang.At, Kind: StepLinkFault, Site: everySite, FarEnd: hang.FarEnd, Lasts: hang.Lasts,
+		Fault: linkFault{MaxConns: 2}})
+}
+
 func (p *Plan) addFarEndFaults(d draw) {
 	kinds := []StepKind{StepHang, StepDie, StepErrors, StepDrain, StepDrain, StepFlood, StepReplace, StepReplace}
 	for range 1 + d.IntN(4) {
--- a/internal/faultrig/proxy.go
+++ b/internal/faultrig/proxy.go
@@ -46,9 +46,15 @@
 	links    []*proxyLink
 
 	listening, stopped bool
-	// Lost connections that the far end has not noticed, and since which it accepts no others; nil: there are none.
-	unnoticed chan struct{}
-	loseFor   time.Duration // the next set-up loses all connections, for so long unnoticed; 0: it does not
+	unnoticed          *linkLoss // the last loss, until the far end notices it; nil: there is none
+	nextLoss           *linkLoss // what the next set-up brings about; nil: nothing
+}
+
+// linkLoss is a loss of all connections to a far end, which notices it a while later.
+type linkLoss struct {
+	unnoticedFor time.Duration
+	accepting    bool // it accepts other connections meanwhile
+	noticed      chan struct{}
 }
 
 // proxyLink is one connection through a proxy.
@@ -59,6 +65,7 @@
 	agent, farEnd net.Conn
 	launched      map[string]bool // calls with a set-up on it
 	closed        bool
+	loss          *linkLoss // in which it was lost; nil: it was not
 }
 
 // acceptBacklog is the length of the queue of a proxy's listening socket. While the proxy does not accept, connections beyond it
@@ -124,7 +131,7 @@
 func (p *proxy) adjustListening() {
 	p.mu.Lock()
 	full := p.fault.MaxConns > 0 && len(p.links) >= p.fault.MaxConns
-	wanted := !p.stopped && p.unnoticed == nil && !full
+	wanted := !p.stopped && (p.unnoticed == nil || p.unnoticed.accepting) && !full
 	open, shut := wanted && !p.listening, !wanted && p.listening
 	if shut {
 		_ = p.listener.Close()
@@ -142,45 +149,48 @@
 }
 
 // loseUnderSetUp loses all connections a moment after the next set-up, without the far end's notice for a while.
-func (p *proxy) loseUnderSetUp(unnoticedFor time.Duration) {
+func (p *proxy) loseUnderSetUp(unnoticedFor time.Duration, accepting bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loseFor = unnoticedFor
+	p.nextLoss = &linkLoss{unnoticedFor: unnoticedFor, accepting: accepting, noticed: make(chan struct{})}
 }
 
 // setUpPassed loses the connections if loseUnderSetUp asks for it.
 func (p *proxy) setUpPassed() {
 	p.mu.Lock()
-	lasts := p.loseFor
-	p.loseFor = 0
+	loss := p.nextLoss
+	p.nextLoss = nil
 	p.mu.Unlock()
-	if lasts > 0 {
-		time.AfterFunc(p.random(2*setUpTime), func() { p.loseUnnoticed(lasts) })
+	if loss != nil {
+		time.AfterFunc(p.random(2*setUpTime), func() { p.lose(loss) })
 	}
 }
 
-// loseUnnoticed resets the agent's side of all connections. The far end goes on holding its side, and accepts no others, until it
-// notices after a while.
-func (p *proxy) loseUnnoticed(lasts time.Duration) {
+// lose resets the agent's side of all connections. The far end goes on holding its side until it notices after a while, and until then
+// accepts no others if the loss says so.
+func (p *proxy) lose(loss *linkLoss) {
 	p.mu.Lock()
 	if p.unnoticed != nil || p.stopped {
 		p.mu.Unlock()
 		return
 	}
-	noticed := make(chan struct{})
-	p.unnoticed = noticed
+	p.unnoticed = loss
 	links := slices.Clone(p.links)
+	for _, l := range links {
+		l.loss = loss
+	}
 	p.mu.Unlock()
-	p.recorder.Add(Event{Kind: FaultInjected, FarEnd: p.farEnd.name(), Note: fmt.Sprintf("%d connections lost, unnoticed for %v", len(links), lasts)})
+	p.recorder.Add(Event{Kind: FaultInjected, FarEnd: p.farEnd.name(), Note: fmt.Sprintf("%d connections lost, unnoticed for %v, others accepted: %t",
+		len(links), loss.unnoticedFor, loss.accepting)})
 	p.adjustListening()
 	for _, l := range links {
 		resetConn(l.agent)
 	}
-	time.AfterFunc(lasts, func() {
+	time.AfterFunc(loss.unnoticedFor, func() {
 		p.mu.Lock()
 		p.unnoticed = nil
 		p.mu.Unlock()
-		close(noticed)
+		close(loss.noticed)
 		for _, l := range links {
 			l.reset()
 		}
@@ -188,13 +198,13 @@
 	})
 }
 
-// waitUntilNoticed blocks while the far end does not know that its connections were lost.
-func (p *proxy) waitUntilNoticed() {
-	p.mu.Lock()
-	noticed := p.unnoticed
-	p.mu.Unlock()
-	if noticed != nil {
-		<-noticed
+// waitUntilNoticed blocks while the far end does not know that the connection was lost.
+func (l *proxyLink) waitUntilNoticed() {
+	l.proxy.mu.Lock()
+	loss := l.loss
+	l.proxy.mu.Unlock()
+	if loss != nil {
+		<-loss.noticed
 	}
 }
 
@@ -388,7 +398,7 @@
 		}
 	}
 	l.proxy.waitWhileSilent()
-	l.proxy.waitUntilNoticed()
+	l.waitUntilNoticed()
 	l.end(false)
 	for range lines { // the reader must not block
 	}
@@ -444,7 +454,7 @@
 			})
 		}
 	}
-	l.proxy.waitUntilNoticed()
+	l.waitUntilNoticed()
 	l.end(l.chance(0.5))
 }
 
--- a/internal/faultrig/run.go
+++ b/internal/faultrig/run.go
@@ -294,7 +294,7 @@
 	case StepQuiet:
 		a.crowd.pause(s.Lasts)
 	case StepLoseLinks:
-		a.proxies[s.FarEnd].loseUnderSetUp(s.Lasts)
+		a.proxies[s.FarEnd].loseUnderSetUp(s.Lasts, s.Accepting)
 	case StepCrowd:
 		a.playCrowd(plan, s.Repeated, s.Lasts)
 	}
