--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -1,13 +1,9 @@
 package platform
 
 import (
-	"fmt"
 	"iter"
 	"maps"
-	"math/rand/v2"
 	"slices"
-	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,23 +65,6 @@
 	checkSentAt    map[string]time.Duration  // send times of the check lines without an answer, by UID
 }
 
-// farConn is one connection. Its methods Data and Closed run outside the core's loop and only post to it.
-type farConn struct {
-	farEnd      *farEnd
-	link        *link.Conn
-	dialedAt    time.Duration // start of its dial
-	connectedAt time.Duration
-	closed      bool
-	// group states received on the other connections since the last line on this one, and when they became too many
-	missedStates int
-	missLimitAt  time.Duration
-	pending      int          // set-ups on it that have no answer yet
-	queuedBytes  atomic.Int64 // bytes of lines received and not handled yet
-	gotState     bool         // a state of the circuit group was received here
-	groupState   []float32    // the last one
-	unconfirmed  []release    // sent on it and not confirmed by the far end
-}
-
 // attemptLeg is this front end's state of an attempt, kept in Attempt.Leg.
 type attemptLeg struct {
 	conn    *farConn
@@ -330,30 +309,6 @@
 	return best
 }
 
-// launchLine is the line that sets a call up at a far end.
-func launchLine(k *agent.Call, class string, left time.Duration) *farend.Message {
-	m := &farend.Message{Kind: farend.Launch, UID: k.ID, Body: k.Description, Meta: map[string]string{
-		"class": class, "left": strconv.FormatInt(left.Milliseconds(), 10)}}
-	if k.Number != "" {
-		m.Meta["key"] = k.Number
-	}
-	return m
-}
-
-func (c *farConn) sendLaunch(a *agent.Attempt) {
-	k, l := a.Call, a.Leg.(*attemptLeg)
-	core := c.farEnd.farEnds.core
-	left := max(a.Timeout-(core.Now()-a.SentAt), time.Millisecond)
-	m := launchLine(k, core.Settings.Classes[k.Class].Name, left)
-	l.conn, l.pending = c, true
-	c.pending++
-	c.repeatStops(a)
-	if e := c.farEnd.farEnds.log.Check(zap.DebugLevel, "set-up"); e != nil {
-		e.Write(zap.String("far", c.farEnd.addr), zap.String("uid", k.ID), zap.Float64("width", k.Width))
-	}
-	c.link.Send(m.Append(nil), &l.handle) // if Send fails, the connection's close is reported and ends the attempt
-}
-
 // Probe sends a load probe to a far end.
 func (f *FarEnds) Probe(id uint32) {
 	x := f.byID[id]
@@ -372,155 +327,6 @@
 	return c.sendCheck()
 }
 
-// sendCheck sends a test line on the connection.
-func (c *farConn) sendCheck() bool {
-	uid := fmt.Sprintf("%016x", rand.Uint64())
-	c.farEnd.checkSentAt[uid] = c.farEnd.farEnds.core.Now()
-	return c.link.Send((&farend.Message{Kind: farend.Check, UID: uid}).Append(nil), nil)
-}
-
-// Data parses lines. A malformed line closes the connection at once and drops what still waits to be written: the lines
-// behind it cannot be parsed, so set-ups pending on the connection would get no answer.
-func (c *farConn) Data(l *link.Conn, b []byte) (int, error) {
-	core := c.farEnd.farEnds.core
-	used := 0
-	for {
-		m, n, err := farend.Parse(b[used:])
-		used += n
-		switch {
-		case err != nil:
-			core.Metrics.Malformed.Inc()
-			c.farEnd.farEnds.log.Debug("malformed line from far end",
-				zap.Error(err), zap.ByteString("from", b[used-n:min(len(b), used-n+160)]))
-			l.Close()
-			return used, err
-		case n == 0:
-			return used, nil
-		case m != nil:
-			if c.queuedBytes.Add(int64(n)) > maxQueuedLineBytes {
-				l.CloseFlooded()
-				return used, nil
-			}
-			core.Post(func() {
-				c.queuedBytes.Add(-int64(n))
-				c.link = l // lines may be handled before the result of the dial
-				c.handleLine(m)
-			})
-		}
-	}
-}
-
-// Closed handles the end of the connection.
-func (c *farConn) Closed(*link.Conn) { c.farEnd.farEnds.core.Post(c.tearDown) }
-
-// tearDown ends the set-ups pending on a closed connection. Established calls belong to no connection and stay.
-func (c *farConn) tearDown() {
-	x := c.farEnd
-	c.closed = true
-	core := x.farEnds.core
-	if !slices.Contains(x.conns, c) {
-		return // it opened when it was no longer needed
-	}
-	x.redialAt = 0
-	switch {
-	case c.link.Flooded():
-		core.Metrics.LinksFlooded.Inc()
-		x.farEnds.log.Warn("far end floods its connection, which was closed", zap.String("far", x.addr))
-		x.redialLater(floodRedialDelay)
-	case core.Now()-c.connectedAt < resetRedialDelay:
-		x.redialLater(resetRedialDelay) // it was reset right after opening, and the next one may be too
-	}
-	core.Metrics.LinksLost.Inc()
-	x.farEnds.log.Debug("connection to far end lost", zap.String("far", x.addr), zap.Int("open", c.pending))
-	first := x.conns[0] == c
-	if len(x.conns) == 1 {
-		x.lostAt, x.refused = core.Now(), false
-	}
-	x.conns = slices.DeleteFunc(x.conns, func(o *farConn) bool { return o == c })
-	if first && len(x.conns) > 0 && x.conns[0].groupState != nil {
-		core.Report(x.id, x.conns[0].groupState) // from now on the group's states are taken from this connection
-	}
-	for a := range x.sortedAttempts() {
-		l := a.Leg.(*attemptLeg)
-		if l.conn != c || a.Established() {
-			continue
-		}
-		// Keeps a healthy far end in use: one broken connection says nothing about its load or health.
-		x.endAttempt(a, tinbeam.NoteLinkLost)
-	}
-	c.repeatReleases()
-	x.replaceLostConn()
-}
-
-// handleLine handles one line from the far end.
-func (c *farConn) handleLine(m *farend.Message) {
-	x := c.farEnd
-	core := x.farEnds.core
-	x.restartSilence()
-	c.missedStates = 0
-	a := x.attempts[m.UID]
-	if e := x.farEnds.log.Check(zap.DebugLevel, m.Kind); e != nil {
-		e.Write(zap.String("far", x.addr), zap.String("uid", m.UID), zap.Int("cause", m.Cause), zap.Any("meta", m.Meta))
-	}
-	switch m.Kind {
-	case farend.Staging:
-	case farend.Stopped:
-		x.confirmRelease(m.UID)
-	case farend.Running:
-		if a == nil {
-			core.Metrics.StrayMessages.Inc()
-			c.answerLate(m.UID)
-			return
-		}
-		if !a.Established() && !c.carries(a) {
-			x.ignoreStale(a, m)
-			return
-		}
-		a.Leg.(*attemptLeg).clearPending()
-		core.Answered(a, m.Body)
-	case farend.Stop:
-		if a == nil {
-			core.Metrics.StrayMessages.Inc()
-			return
-		}
-		c.handleStop(a, m)
-	case farend.Usage:
-		c.handleUsage(m.Report(core.Settings.ReportFields))
-	case farend.Checked:
-		at, ok := x.checkSentAt[m.UID]
-		if !ok {
-			core.Metrics.StrayMessages.Inc()
-			return
-		}
-		delete(x.checkSentAt, m.UID)
-		code := tinbeam.OK
-		if m.Cause != farend.CheckPassed {
-			code = tinbeam.Failed
-		}
-		core.Probed(x.id, code, core.Now()-at, m.Report(core.Settings.ReportFields))
-	default:
-		core.Metrics.Malformed.Inc()
-	}
-}
-
-// handleUsage handles a state of the group. The first one on a connection is sent on that one alone, and the later ones on all.
-func (c *farConn) handleUsage(state []float32) {
-	x := c.farEnd
-	sentOnAll := c.gotState
-	c.gotState, c.groupState = true, state
-	if len(x.conns) > 0 && x.conns[0] == c {
-		x.handleGroupState(state)
-	}
-	if !sentOnAll {
-		return
-	}
-	for _, o := range x.conns {
-		if o != c {
-			o.noteMissedState(x.farEnds.core.Now())
-		}
-	}
-}
-
 // handleGroupState passes on a state of the group. The state is sent on every connection, and only the copy on the first one is passed
 // on. The second copy is older than the set-ups sent after the first; passed on too, it would let as many go again, and they would
 // find no free circuit. So the far end is not ready either before the first one has brought it.
@@ -532,21 +338,6 @@
 	x.reportReady()
 }
 
-// noteMissedState counts a group state received on another connection. Each state is sent on all connections at nearly the
-// same time. Of two states counted on every other connection, one may have been received here first, but not both.
-func (c *farConn) noteMissedState(now time.Duration) {
-	if c.missedStates++; c.missedStates == 2*(len(c.farEnd.conns)-1) {
-		c.missLimitAt = now
-	}
-}
-
-// stalled reports whether a connection is open but unusable: a line on it stays incomplete, or lines are received on the
-// other connections and not on this one.
-func (c *farConn) stalled(now time.Duration) bool {
-	return c.link.StalledFor() > stallTimeout || c.missedStates >= 2*(len(c.farEnd.conns)-1) &&
-		c.missedStates > 0 && now-c.missLimitAt > stallTimeout
-}
-
 // sweep handles what depends on time alone: connections to open or close, and unresponsive far ends.
 func (x *farEnd) sweep() {
 	core := x.farEnds.core
--- a/internal/platform/farends_test.go
+++ b/internal/platform/farends_test.go
@@ -156,6 +156,29 @@
 	}
 }
 
+// listenFull listens at an address with a queue that is full: what comes next is dropped, so it is neither accepted nor refused.
+func (f *farEndFixture) listenFull(addr string) net.Listener {
+	f.Helper()
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		f.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
+		f.Fatal(err)
+	}
+	filler, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { filler.Close() })
+	return ln
+}
+
 // open waits for the connections that the far-end side keeps, and for the group's state on them to be handled.
 func (f *farEndFixture) open() []*peerConn {
 	conns := make([]*peerConn, connsWanted)
@@ -412,24 +435,7 @@
 func TestSecondDialWhileOneHangs(t *testing.T) {
 	f := newFarEndFixture(t)
 	f.onLoop(func() { f.farEnds.dialTimeout = testTimeout })
-	// A listening socket with a full queue drops what comes next; the system sends it again after a second.
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	raw, err := ln.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
-		t.Fatal(err)
-	}
-	filler, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer filler.Close()
+	ln := f.listenFull("127.0.0.1:0") // the system tries again after a second
 	f.open()
 	f.onLoop(func() {
 		f.farEnds.ApplyList(2, tinbeam.ListDelta, []changelog.Entry{{Addr: ln.Addr().String(),
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -81,6 +80,15 @@
 	f.waitFor("the connections were not lost", false, func(x *farEnd) bool { return len(x.conns) == 0 })
 }
 
+// keepsCalls checks that no caller gets anything for a time.
+func (f *steppedFixture) keepsCalls(d time.Duration) {
+	f.Helper()
+	f.advance(d)
+	if len(f.answers) > 0 {
+		f.Errorf("the caller got %q", <-f.answers)
+	}
+}
+
 // listenAgain accepts connections again.
 func (f *steppedFixture) listenAgain() {
 	f.Helper()
@@ -230,23 +238,7 @@
 	f.standingCall()
 	addr := f.listener.Addr().String()
 	f.listener.Close()
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	raw, err := ln.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); err != nil {
-		t.Fatal(err)
-	}
-	filler, err := net.Dial("tcp", addr) // fills the queue: what comes next is dropped
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer filler.Close()
+	f.listenFull(addr)
 	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
 	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second || took < unresponsiveTimeout {
 		t.Errorf("%v until the release", took)
@@ -271,12 +263,7 @@
 			defer c.Close()
 		}
 	}()
-	for range 80 {
-		f.advance(sweepInterval)
-	}
-	if len(f.answers) > 0 {
-		t.Errorf("the caller got %q", <-f.answers)
-	}
+	f.keepsCalls(20 * time.Second)
 }
 
 // Guards against calls that are cut: a far end that hangs and holds all the connections that it accepts refuses the next one. Its machine
@@ -286,12 +273,7 @@
 	f.open()
 	f.standingCall()
 	f.listener.Close()
-	for range 80 {
-		f.advance(sweepInterval)
-	}
-	if len(f.answers) > 0 {
-		t.Errorf("the caller got %q", <-f.answers)
-	}
+	f.keepsCalls(20 * time.Second)
 }
 
 // Guards against a call left standing towards its caller: the machine of a far end has vanished, and the one that has its address now
@@ -360,10 +342,7 @@
 	f.open()
 	f.standingCall()
 	f.clock.Add(int64(10 * time.Second))
-	f.advance(time.Second)
-	if len(f.answers) > 0 {
-		t.Errorf("the caller got %q", <-f.answers)
-	}
+	f.keepsCalls(time.Second)
 }
 
 // Guards against a call that stands without a caller: one that the list says is lost with its process is released there as well, since
