A time in which the agent itself did not run is no silence of its far ends

Impact: an agent that was stopped for some seconds while a health check or an audit was out released the calls at that far end or gateway.

Cause: silence was counted by the clock, also while the agent could hear nothing; what had been sent meanwhile was still to be handled.

Result: TestAgentStoppedDuringHealthCheck ("the caller got released 41") and TestAgentStoppedDuringAudit ("1 calls released") fail before and pass after; the tests of vanished far ends and gateways pass unchanged.

--- a/internal/mgcp/audit.go
+++ b/internal/mgcp/audit.go
@@ -54,9 +54,26 @@
 	return false
 }
 
+// discountPause takes a time in which the agent itself did not run off the silence of all gateways: what they sent meanwhile is still to be
+// handled.
+func (f *FrontEnd) discountPause(now time.Duration) {
+	pause := now - f.auditsRunAt - auditInterval
+	f.auditsRunAt = now
+	if pause <= auditInterval {
+		return
+	}
+	for _, gw := range f.gateways {
+		gw.silentSince = min(gw.silentSince+pause, now)
+		if gw.auditedAt != 0 {
+			gw.auditedAt = min(gw.auditedAt+pause, now)
+		}
+	}
+}
+
 // auditGateways audits the gateways that have calls and have been silent for a while, and gives up those that do not answer.
 func (f *FrontEnd) auditGateways() {
 	now := f.core.Now()
+	f.discountPause(now)
 	for _, gw := range f.gateways {
 		silent := now - gw.silentSince
 		switch {
--- a/internal/mgcp/audit_test.go
+++ b/internal/mgcp/audit_test.go
@@ -37,3 +37,18 @@
 		t.Errorf("%d calls released, %d audits", caller.released, audits)
 	}
 }
+
+// Guards against calls that are cut: an agent was itself stopped while a gateway had an audit to answer. The answer is not handled yet.
+func TestAgentStoppedDuringAudit(t *testing.T) {
+	g, caller := newGatewayFixture(t), &testCaller{}
+	g.answer("")
+	g.core.Offer(caller.newCall(1))
+	g.answer("")
+	audits := 0
+	g.pass(auditDelay+auditInterval+50*time.Millisecond, func() { audits += g.drop("AUEP") })
+	g.now += 10 * time.Second
+	g.pass(time.Second, func() { g.drop("") })
+	if caller.released != 0 || audits != 1 {
+		t.Errorf("%d calls released, %d audits", caller.released, audits)
+	}
+}
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -52,6 +52,7 @@
 	gateways      []*gateway
 	listVersion   uint64
 	rng           *rand.Rand
+	auditsRunAt   time.Duration // time of the last run of auditGateways
 }
 
 // gateway is the state of a gateway.
@@ -120,6 +121,7 @@
 	for _, gw := range f.gateways {
 		f.clearGateway(gw)
 	}
+	f.auditsRunAt = core.Now()
 	f.core.After(auditInterval, f.auditGateways)
 	return f
 }
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -85,8 +85,11 @@
 		dialTimeout = 500 * time.Millisecond
 	}
 	f := &FarEnds{core: core, log: log, dialTimeout: dialTimeout, byID: map[uint32]*farEnd{}, onReady: onReady}
+	sweptAt := core.Now()
 	var sweep func()
 	sweep = func() {
+		f.discountPause(core.Now() - sweptAt)
+		sweptAt = core.Now()
 		for _, id := range slices.Sorted(maps.Keys(f.byID)) {
 			f.byID[id].sweep()
 		}
--- a/internal/platform/silence.go
+++ b/internal/platform/silence.go
@@ -23,6 +23,23 @@
 // restartSilence counts the silence of the far end from now.
 func (x *farEnd) restartSilence() { x.silentSince, x.checkedAt = x.farEnds.core.Now(), 0 }
 
+// discountPause takes a time in which the agent itself did not run off the silence of all far ends: what they sent meanwhile is still to
+// be handled. sinceSweep is the time since the last sweep.
+func (f *FarEnds) discountPause(sinceSweep time.Duration) {
+	pause := sinceSweep - sweepInterval
+	if pause <= sweepInterval {
+		return
+	}
+	f.log.Warn("the agent did not run", zap.Duration("for", pause))
+	now := f.core.Now()
+	for _, x := range f.byID {
+		x.silentSince = min(x.silentSince+pause, now)
+		if x.checkedAt != 0 {
+			x.checkedAt = min(x.checkedAt+pause, now)
+		}
+	}
+}
+
 // checkSilence examines a far end that has said nothing for a while although it has attempts or calls, or a health check to answer.
 func (x *farEnd) checkSilence() {
 	if len(x.attempts) == 0 && x.checkedAt == 0 {
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -345,6 +345,19 @@
 	f.keepsCalls(time.Second)
 }
 
+// Guards against calls that are cut: an agent was itself stopped while a far end had a health check to answer. The answer is not handled yet.
+func TestAgentStoppedDuringHealthCheck(t *testing.T) {
+	f := newSteppedFixture(t)
+	f.open()
+	f.standingCall()
+	addr := f.listener.Addr().String()
+	f.listener.Close()
+	f.listenFull(addr)
+	f.waitFor("no health check was sent", true, func(x *farEnd) bool { return x.checkedAt != 0 })
+	f.clock.Add(int64(10 * time.Second))
+	f.keepsCalls(time.Second)
+}
+
 // Guards against a call that stands without a caller: one that the list says is lost with its process is released there as well, since
 // another process may have the address already, and the call.
 func TestListedEndReleasesAtTheFarEnd(t *testing.T) {
