--- a/internal/mgcp/audit.go
+++ b/internal/mgcp/audit.go
@@ -7,17 +7,11 @@
 	"go.uber.org/zap"
 
 	"tinbeam"
+	"tinbeam/internal/agent"
 )
 
 // This file notices a gateway whose machine is gone or cut off: it says nothing, so its calls would stand forever.
 
-const (
-	auditInterval  = 250 * time.Millisecond  // how often the silence of gateways is checked
-	auditDelay     = 2 * time.Second         // silence of a gateway with calls before it is audited
-	silenceTimeout = 5 * time.Second         // silence that means failure: its calls must be released within 8 s of its end
-	auditTimeout   = 2500 * time.Millisecond // least time that a gateway has to answer an audit
-)
-
 // inUse reports whether a line of the gateway has a call.
 func (gw *gateway) inUse() bool {
 	for _, l := range gw.lines {
@@ -30,8 +24,8 @@
 
 // expectAnswers counts the silence of the gateway from now if it had no call, and so no cause to send anything.
 func (gw *gateway) expectAnswers(now time.Duration) {
-	if !gw.inUse() && gw.auditedAt == 0 {
-		gw.silentSince = now
+	if !gw.inUse() && !gw.silence.Checked() {
+		gw.silence.Restart(now)
 	}
 }
 
@@ -39,7 +33,7 @@
 func (f *FrontEnd) heard(from netip.AddrPort) {
 	for _, gw := range f.gateways {
 		if gw.addr.Addr() == from.Addr() && (gw.addr == from || !f.sharesAddress(gw)) {
-			gw.silentSince, gw.auditedAt = f.core.Now(), 0
+			gw.silence.Restart(f.core.Now())
 		}
 	}
 }
@@ -54,18 +48,11 @@
 	return false
 }
 
-// discountPause takes a time in which the agent itself did not run off the silence of all gateways: what they sent meanwhile is still to be
-// handled.
-func (f *FrontEnd) discountPause(now time.Duration) {
-	pause := now - f.auditsRunAt - auditInterval
-	f.auditsRunAt = now
-	if pause <= auditInterval {
-		return
-	}
+// silences yields the silence of each gateway.
+func (f *FrontEnd) silences(yield func(*agent.Silence) bool) {
 	for _, gw := range f.gateways {
-		gw.silentSince = min(gw.silentSince+pause, now)
-		if gw.auditedAt != 0 {
-			gw.auditedAt = min(gw.auditedAt+pause, now)
+		if !yield(&gw.silence) {
+			return
 		}
 	}
 }
@@ -73,20 +60,19 @@
 // auditGateways audits the gateways that have calls and have been silent for a while, and gives up those that do not answer.
 func (f *FrontEnd) auditGateways() {
 	now := f.core.Now()
-	f.discountPause(now)
+	f.pauses.Discount(now, f.silences)
 	for _, gw := range f.gateways {
-		silent := now - gw.silentSince
 		switch {
 		case !gw.inUse():
-			gw.auditedAt = 0
-		case silent > silenceTimeout && gw.auditedAt != 0 && now-gw.auditedAt >= auditTimeout:
-			f.giveUp(gw, silent)
-		case silent > auditDelay && gw.auditedAt == 0:
-			gw.auditedAt = now
+			gw.silence.EndCheck()
+		case gw.silence.Expired(now):
+			f.giveUp(gw, now-gw.silence.Since())
+		case gw.silence.CheckDue(now):
+			gw.silence.CheckSent(now)
 			f.tx.request(gw.addr, &Message{Verb: "AUEP", Endpoint: gw.lines[0].name}, nil)
 		}
 	}
-	f.core.After(auditInterval, f.auditGateways)
+	f.core.After(agent.SilenceInterval, f.auditGateways)
 }
 
 // giveUp ends the established calls at a gateway that has not answered an audit, and deletes their connections, which are there if it
@@ -94,7 +80,7 @@
 func (f *FrontEnd) giveUp(gw *gateway, silent time.Duration) {
 	f.log.Warn("gateway is unresponsive", zap.String("gateway", gw.Name), zap.Duration("silent", silent))
 	f.core.Metrics.IdleLinks.Inc()
-	gw.silentSince, gw.auditedAt = f.core.Now(), 0
+	gw.silence.Restart(f.core.Now())
 	for _, l := range gw.lines {
 		if leg := l.called; leg != nil && !leg.ended && leg.attempt.Established() {
 			leg.ended, l.called = true, nil
--- a/internal/mgcp/audit_test.go
+++ b/internal/mgcp/audit_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"tinbeam/internal/agent"
 )
 
 // Guards against calls that stand forever: a gateway whose machine has gone says nothing, and its calls are released in time.
@@ -45,7 +47,7 @@
 	g.core.Offer(caller.newCall(1))
 	g.answer("")
 	audits := 0
-	g.pass(auditDelay+auditInterval+50*time.Millisecond, func() { audits += g.drop("AUEP") })
+	g.pass(agent.HealthCheckDelay+agent.SilenceInterval+50*time.Millisecond, func() { audits += g.drop("AUEP") })
 	g.now += 10 * time.Second
 	g.pass(time.Second, func() { g.drop("") })
 	if caller.released != 0 || audits != 1 {
--- a/internal/mgcp/front.go
+++ b/internal/mgcp/front.go
@@ -52,7 +52,7 @@
 	gateways      []*gateway
 	listVersion   uint64
 	rng           *rand.Rand
-	auditsRunAt   time.Duration // time of the last run of auditGateways
+	pauses        agent.PauseDetector
 }
 
 // gateway is the state of a gateway.
@@ -65,8 +65,7 @@
 	lines       []*line
 	clearing    bool // the DLCX for connections of an earlier start is pending: it would delete later ones too
 
-	silentSince time.Duration // since then nothing was received, although the gateway has calls
-	auditedAt   time.Duration // time of an AUEP since which nothing was received; 0: there is none
+	silence agent.Silence // a datagram that is received ends it; the health check is an AUEP
 }
 
 // line is the state of one endpoint. It has at most one call at a time, either as the caller or as the called side.
@@ -121,8 +120,8 @@
 	for _, gw := range f.gateways {
 		f.clearGateway(gw)
 	}
-	f.auditsRunAt = core.Now()
-	f.core.After(auditInterval, f.auditGateways)
+	f.pauses.Start(core.Now())
+	f.core.After(agent.SilenceInterval, f.auditGateways)
 	return f
 }
 
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -69,7 +69,7 @@
 	core.Metrics.DialsFailed.Inc()
 	x.farEnds.log.Debug("dial to far end failed", zap.String("far", x.addr), zap.Bool("refused", refused),
 		zap.Int("connections", len(x.conns)), zap.Int("attempts", len(x.attempts)), zap.Int("set-ups waiting", len(x.waiting)),
-		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.silentSince))
+		zap.Int("releases waiting", len(x.queuedReleases)), zap.Duration("silent", core.Now()-x.silence.Since()))
 	x.redialAt = core.Now() + redialDelay
 	x.reportReady()
 	if !refused {
--- a/internal/platform/farends.go
+++ b/internal/platform/farends.go
@@ -25,7 +25,7 @@
 	maxDials           = 2                      // dials to one far end at a time
 	resetRedialDelay   = 20 * time.Millisecond  // after a connection that was reset as soon as it opened
 	stallTimeout       = 300 * time.Millisecond // a line incomplete, or a connection idle, for this long does not recover
-	sweepInterval      = 250 * time.Millisecond
+	sweepInterval      = agent.SilenceInterval
 	maxQueuedLineBytes = 256 << 10        // bytes of lines of one connection that were received and not handled yet
 	floodRedialDelay   = time.Second      // before a connection to a far end that has flooded one
 	startResolution    = time.Millisecond // of the start times in the list, which are rounded down
@@ -39,6 +39,7 @@
 	byID        map[uint32]*farEnd
 	closed      bool
 	onReady     func()
+	pauses      agent.PauseDetector
 }
 
 // farEnd is one far end of the list with its connections and attempts.
@@ -54,8 +55,7 @@
 	lastDialAt     time.Duration             // start of the last one
 	redialAt       time.Duration             // no dial starts before this time
 	readyReported  bool                      // its group's state was received, or no connection could be opened
-	silentSince    time.Duration             // since then nothing was received or opened, although there was cause to
-	checkedAt      time.Duration             // time of a health check since which nothing was received; 0: there is none
+	silence        agent.Silence             // a line that is received ends it, and a connection that is opened
 	attempts       map[string]*agent.Attempt // pending or established, by Call.ID
 	waiting        []*agent.Attempt          // attempts waiting for a connection
 	queuedReleases []release                 // releases waiting for a connection
@@ -85,11 +85,10 @@
 		dialTimeout = 500 * time.Millisecond
 	}
 	f := &FarEnds{core: core, log: log, dialTimeout: dialTimeout, byID: map[uint32]*farEnd{}, onReady: onReady}
-	sweptAt := core.Now()
+	f.pauses.Start(core.Now())
 	var sweep func()
 	sweep = func() {
-		f.discountPause(core.Now() - sweptAt)
-		sweptAt = core.Now()
+		f.discountPause()
 		for _, id := range slices.Sorted(maps.Keys(f.byID)) {
 			f.byID[id].sweep()
 		}
@@ -132,8 +131,9 @@
 				continue
 			}
 			x = &farEnd{farEnds: f, id: e.Switch, attempts: map[string]*agent.Attempt{},
-				checkSentAt: map[string]time.Duration{}, silentSince: f.core.Now(),
+				checkSentAt:   map[string]time.Duration{},
 				readyReported: e.ExchangeNumber == f.core.Settings.LocalExchange}
+			x.restartSilence()
 			f.byID[e.Switch] = x
 		}
 		if x.addr != e.Addr {
@@ -284,7 +284,7 @@
 		f.core.Ended(a, tinbeam.ConnectFailed, 0, nil, 0)
 		return
 	}
-	if len(x.attempts) == 0 && x.checkedAt == 0 {
+	if len(x.attempts) == 0 && !x.silence.Checked() {
 		x.restartSilence() // until now the far end had no cause to send anything
 	}
 	x.attempts[a.Call.ID] = a
@@ -354,7 +354,7 @@
 	}
 	x.dial(x.wantedConns())
 	for uid, at := range x.checkSentAt {
-		if core.Now()-at > unresponsiveTimeout {
+		if core.Now()-at > agent.UnresponsiveTimeout {
 			delete(x.checkSentAt, uid)
 		}
 	}
--- a/internal/platform/freshconn.go
+++ b/internal/platform/freshconn.go
@@ -28,12 +28,12 @@
 
 // replaceLostConn opens a connection in the place of one that was lost: one more than there are, if calls of lost connections stand.
 // Until the far end notices the loss, it may send releases that are lost too, so another one follows. The loss is noticed within
-// unresponsiveTimeout, or the calls are given up.
+// agent.UnresponsiveTimeout, or the calls are given up.
 func (x *farEnd) replaceLostConn() {
 	x.requestFreshConn()
 	core := x.farEnds.core
 	core.Stop(x.freshConn.again)
-	x.freshConn.again = core.After(unresponsiveTimeout, x.requestFreshConn)
+	x.freshConn.again = core.After(agent.UnresponsiveTimeout, x.requestFreshConn)
 }
 
 // requestFreshConn opens one more connection if calls of lost connections stand, and otherwise keeps the usual number.
--- a/internal/platform/freshconn_test.go
+++ b/internal/platform/freshconn_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tinbeam/internal/agent"
 	"tinbeam/internal/farend"
 )
 
@@ -14,7 +15,7 @@
 	f.Helper()
 	for range limit / sweepInterval {
 		open.send(farend.Staging, "", 0)
-		f.waitFor("a line is not handled", false, func(x *farEnd) bool { return x.silentSince == f.core.Now() })
+		f.waitFor("a line is not handled", false, func(x *farEnd) bool { return x.silence.Since() == f.core.Now() })
 		f.advance(sweepInterval)
 		if len(f.conns) > 0 {
 			return <-f.conns
@@ -80,6 +81,6 @@
 		if open > maxConnsPerFarEnd {
 			t.Fatalf("%d connections are open", open)
 		}
-		f.advance(unresponsiveTimeout + time.Second)
+		f.advance(agent.UnresponsiveTimeout + time.Second)
 	}
 }
--- a/internal/platform/restart.go
+++ b/internal/platform/restart.go
@@ -38,7 +38,7 @@
 	x.farEnds.log.Info("far end was replaced, as far as its free circuits show",
 		zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(suspects)))
 	core := x.farEnds.core
-	core.At(max(core.Now()+lateReleaseTime, x.lostAt+unresponsiveTimeout), func() {
+	core.At(max(core.Now()+lateReleaseTime, x.lostAt+agent.UnresponsiveTimeout), func() {
 		x.endAttempts(func(a *agent.Attempt) bool { return slices.Contains(suspects, a) })
 	})
 }
--- a/internal/platform/silence.go
+++ b/internal/platform/silence.go
@@ -12,45 +12,37 @@
 
 // This file notices a far end that says nothing although it has something to answer: its machine is gone or cut off.
 
-// The times of silence.
-const (
-	extraConnDelay      = 400 * time.Millisecond  // silence with a set-up pending before an extra connection is opened
-	healthCheckDelay    = 2 * time.Second         // silence of a far end with attempts or calls before a health check
-	unresponsiveTimeout = 5 * time.Second         // silence that means failure: its calls must be released within 8 s of its end
-	checkTimeout        = 2500 * time.Millisecond // least time that a far end has to answer a health check
-)
+// extraConnDelay is the silence with a set-up pending before an extra connection is opened.
+const extraConnDelay = 400 * time.Millisecond
 
 // restartSilence counts the silence of the far end from now.
-func (x *farEnd) restartSilence() { x.silentSince, x.checkedAt = x.farEnds.core.Now(), 0 }
+func (x *farEnd) restartSilence() { x.silence.Restart(x.farEnds.core.Now()) }
 
-// discountPause takes a time in which the agent itself did not run off the silence of all far ends: what they sent meanwhile is still to
-// be handled. sinceSweep is the time since the last sweep.
-func (f *FarEnds) discountPause(sinceSweep time.Duration) {
-	pause := sinceSweep - sweepInterval
-	if pause <= sweepInterval {
-		return
-	}
-	f.log.Warn("the agent did not run", zap.Duration("for", pause))
-	now := f.core.Now()
-	for _, x := range f.byID {
-		x.silentSince = min(x.silentSince+pause, now)
-		if x.checkedAt != 0 {
-			x.checkedAt = min(x.checkedAt+pause, now)
+// discountPause takes a time in which the agent itself did not run off the silence of all far ends.
+func (f *FarEnds) discountPause() {
+	pause := f.pauses.Discount(f.core.Now(), func(yield func(*agent.Silence) bool) {
+		for _, x := range f.byID {
+			if !yield(&x.silence) {
+				return
+			}
 		}
+	})
+	if pause > 0 {
+		f.log.Warn("the agent did not run", zap.Duration("for", pause))
 	}
 }
 
 // checkSilence examines a far end that has said nothing for a while although it has attempts or calls, or a health check to answer.
 func (x *farEnd) checkSilence() {
-	if len(x.attempts) == 0 && x.checkedAt == 0 {
+	if len(x.attempts) == 0 && !x.silence.Checked() {
 		return
 	}
 	now := x.farEnds.core.Now()
-	silent := now - x.silentSince
+	silent := now - x.silence.Since()
 	switch {
-	case silent > unresponsiveTimeout && x.checkedAt != 0 && now-x.checkedAt >= checkTimeout:
+	case x.silence.Expired(now):
 		x.giveUp(silent)
-	case silent > healthCheckDelay && x.checkedAt == 0:
+	case x.silence.CheckDue(now):
 		x.startHealthCheck()
 	case silent > extraConnDelay && x.pendingLongerThan(extraConnDelay):
 		// All its connections may be stalled. On a new one the far end first sends its group's state, which shows it is alive.
@@ -60,7 +52,7 @@
 
 // startHealthCheck sends a health check, and opens a connection.
 func (x *farEnd) startHealthCheck() {
-	x.checkedAt = x.farEnds.core.Now()
+	x.silence.CheckSent(x.farEnds.core.Now())
 	x.sendCheck()
 	x.openTestConn()
 }
@@ -69,7 +61,7 @@
 // is there; a process that has ended takes its connections with it, so this one hangs and holds all the connections that it accepts. If
 // another machine has the address now, it resets the open connections once something is sent on them.
 func (x *farEnd) refusedWithConns() {
-	if x.checkedAt == 0 {
+	if !x.silence.Checked() {
 		return
 	}
 	x.restartSilence()
@@ -83,7 +75,7 @@
 func (x *farEnd) giveUp(silent time.Duration) {
 	x.farEnds.log.Warn("far end is unresponsive",
 		zap.String("id", changelog.FormatID(x.id)), zap.Int("calls", len(x.attempts)), zap.Duration("silent", silent),
-		zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Duration("health check sent before", x.farEnds.core.Now()-x.checkedAt))
+		zap.Duration("oldest attempt", x.oldestAttemptAge()), zap.Duration("health check sent before", x.silence.CheckAge(x.farEnds.core.Now())))
 	x.farEnds.core.Metrics.IdleLinks.Inc()
 	x.restartSilence()
 	// The connections come first: a release must not be written to one that leads nowhere.
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -155,7 +155,7 @@
 		if launch.m.Kind != farend.Launch || launch.conn != stop.conn {
 			t.Errorf("refused for %v: received %s, on the connection of the release: %t", refuses, launch.m.Kind, launch.conn == stop.conn)
 		}
-		f.advance(unresponsiveTimeout + time.Second)
+		f.advance(agent.UnresponsiveTimeout + time.Second)
 		if len(f.answers) > 0 {
 			t.Errorf("refused for %v: the caller of the standing call got %q", refuses, <-f.answers)
 		}
@@ -240,7 +240,7 @@
 	f.listener.Close()
 	f.listenFull(addr)
 	f.waitFor("the call was not released", true, func(*farEnd) bool { return len(f.answers) > 0 })
-	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second || took < unresponsiveTimeout {
+	if took := time.Duration(f.clock.Load()) - time.Hour; took > 7*time.Second || took < agent.UnresponsiveTimeout {
 		t.Errorf("%v until the release", took)
 	}
 	if got := f.nextAnswer(); got != "released 41" {
@@ -353,7 +353,7 @@
 	addr := f.listener.Addr().String()
 	f.listener.Close()
 	f.listenFull(addr)
-	f.waitFor("no health check was sent", true, func(x *farEnd) bool { return x.checkedAt != 0 })
+	f.waitFor("no health check was sent", true, func(x *farEnd) bool { return x.silence.Checked() })
 	f.clock.Add(int64(10 * time.Second))
 	f.keepsCalls(time.Second)
 }
