A call whose caller closes its connection as the answer comes is released

Impact: a call stood at its far end without a caller until it ended by itself.

Cause: the close gave up the set-ups without an answer; one that had been answered just before stood, since a call belongs to no connection.

Change: if its answer has had no ACK, such a call is released on both sides after 1 s, as after a CANCEL that crosses the answer. Connections that the agent closes are left out.

Result: TestCloseCrossesAnswer fails before ("given up: 1 calls stand, want 0") and passes after; so do the tests of platform and app.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	ackTimeout         = time.Second            // a call whose answer crossed a CANCEL is released if no ACK arrives in this time
+	ackTimeout         = time.Second            // a call whose answer crossed a CANCEL or a close is released if no ACK arrives in this time
 	byeRetryInterval   = 300 * time.Millisecond // how often the releases and the idle connections are checked
 	byeTTL             = 8 * time.Second        // a release not confirmed within this time is dropped
 	finishedTTL        = 30 * time.Second       // how long the Call-ID of a finished call is remembered
@@ -289,7 +289,15 @@
 }
 
 // Closed handles the end of the connection.
-func (c *callerConn) Closed(*link.Conn) { c.callers.core.Post(c.tearDown) }
+func (c *callerConn) Closed(*link.Conn) { c.callers.core.Post(c.lost) }
+
+// lost handles a connection that has ended. If its caller has closed it, that may have crossed an answer.
+func (c *callerConn) lost() {
+	if !c.closed { // the agent has not closed it, which could have cut off an ACK
+		c.releaseUnackedSoon()
+	}
+	c.tearDown()
+}
 
 // markActive moves a connection to the end of conns, which is ordered by the time of the last message.
 func (c *callerConn) markActive() {
--- a/internal/platform/callers_test.go
+++ b/internal/platform/callers_test.go
@@ -403,6 +403,41 @@
 	}
 }
 
+// Guards against a call that stands without a caller: a caller that gives its set-up up by closing the connection may cross the answer. One
+// that has accepted the answer has sent an ACK before, unless the agent itself closed the connection.
+func TestCloseCrossesAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		acked, closedByAgent bool
+		stands               int
+	}{"given up": {stands: 0}, "accepted": {acked: true, stands: 1}, "closed by the agent": {closedByAgent: true, stands: 1}} {
+		now := time.Hour
+		s := newCallersWithClock(func() time.Duration { return now }, 10)
+		var out *agent.Attempt
+		s.core.UpdateFarEnds(1, tinbeam.ListCached, []tinbeam.Entry{{Switch: 7, ExchangeNumber: 1, Mode: tinbeam.Ready}},
+			unresponsive{&out})
+		listen(t, s)()
+		for len(s.conns) < 1 {
+			s.core.Step()
+		}
+		conn, m := s.conns[0], newInvite("9b1f03aa5c7e2d41", "check", "9000", "dest:1", "v=0")
+		conn.handleMessage(m)
+		s.core.Answered(out, "v=0")
+		if c.acked {
+			m.Method = "ACK"
+			conn.handleMessage(m)
+		}
+		if c.closedByAgent {
+			conn.tearDown()
+		}
+		conn.lost()
+		now += ackTimeout
+		s.core.Step()
+		if n := s.core.OpenCalls(); n != c.stands {
+			t.Errorf("%s: %d calls stand, want %d", name, n, c.stands)
+		}
+	}
+}
+
 // refusesOther is a far-end side: when one of its set-ups is cancelled, the core refuses the other calls, as the decision module
 // may do with any event.
 type refusesOther struct {
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -66,11 +66,25 @@
 		s.core.Abandoned(leg.call)
 		leg.conn.send(leg.invite.Response(487, "Request Terminated", ""))
 	case !leg.acked:
-		s.core.After(ackTimeout, func() { s.releaseUnacked(leg) })
+		s.releaseUnackedSoon(leg)
 	}
 }
 
-// releaseUnacked releases a call whose answer crossed a CANCEL and was not acknowledged. A caller that accepted the answer has sent an
+// releaseUnackedSoon releases the calls of the connection whose answers crossed its close.
+func (c *callerConn) releaseUnackedSoon() {
+	for _, leg := range c.legs {
+		if !leg.pending && !leg.acked && leg.bye == nil {
+			c.callers.releaseUnackedSoon(leg)
+		}
+	}
+}
+
+// releaseUnackedSoon releases a call unless the ACK of its answer arrives in time.
+func (s *Callers) releaseUnackedSoon(leg *callLeg) {
+	s.core.After(ackTimeout, func() { s.releaseUnacked(leg) })
+}
+
+// releaseUnacked releases a call whose answer crossed a CANCEL, or the close of its connection, and was not acknowledged. A caller that accepted the answer has sent an
 // ACK; one that did not sends nothing more, and the call must not stay established forever. The caller is told too: it may have
 // accepted the answer, its ACK being lost or late.
 func (s *Callers) releaseUnacked(leg *callLeg) {
