--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,8 +13,10 @@
 	"cmp"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -69,7 +71,7 @@
 var cases = map[string]func(*run){}
 
 // numbers are the names of the cases that the review hands in. What the others show is in the report.
-var numbers = map[string]string{"6": "zone", "7": "mgcpterm", "8": "upgrade", "9": "from", "10": "stalemgcp"}
+var numbers = map[string]string{"6": "silentfar", "7": "zone", "8": "upgrade", "9": "mgcpterm", "10": "from"}
 
 func main() {
 	if len(os.Args) != 3 || cases[cmp.Or(numbers[os.Args[1]], os.Args[1])] == nil {
@@ -113,8 +115,13 @@
 		status = min(r.broken, 1)
 		r.mu.Unlock()
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	select {
 	case status = <-done:
+	case <-interrupted:
+		r.note("the case could not run: it was interrupted")
+		status = 2
 	case <-time.After(timeLimit):
 		r.note("the case could not run: it did not end in time")
 		status = 2
--- a/review/standin2/silent.go
+++ b/review/standin2/silent.go
@@ -2,38 +2,52 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
 func init() { cases["silent"] = silentCallerConn }
 
-// relay carries connections to an address until it falls silent: then they stay open, and nothing passes in either direction.
+// relay carries connections to an address. One that falls silent stays open on both sides, and nothing passes any more in either
+// direction, not even its end.
 type relay struct {
 	listener net.Listener
-	silent   atomic.Bool
+	mu       sync.Mutex
+	links    []*relayLink
 }
 
-func (r *run) newRelay(to string) *relay {
-	l, err := net.Listen("tcp", newHost()+":0")
-	r.need(err == nil, "a relay cannot listen: %v", err)
-	x := &relay{listener: l}
-	r.atEnd(func() { l.Close() })
-	pass := func(from, to net.Conn) {
-		b := make([]byte, 16<<10)
-		for {
-			n, err := from.Read(b)
+// relayLink is a connection through a relay.
+type relayLink struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+// pass carries what is read on one side to the other.
+func (l *relayLink) pass(from, to net.Conn) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if l.silent.Load() {
 			if err != nil {
-				if !x.silent.Load() {
-					to.Close()
-				}
 				return
 			}
-			if !x.silent.Load() {
-				_, _ = to.Write(b[:n])
-			}
+			continue
 		}
+		if err != nil {
+			to.Close()
+			return
+		}
+		_, _ = to.Write(b[:n])
 	}
+}
+
+// newRelay starts a relay to an address.
+func (r *run) newRelay(to string) *relay {
+	l, err := net.Listen("tcp", newHost()+":0")
+	r.need(err == nil, "a relay cannot listen: %v", err)
+	x := &relay{listener: l}
+	r.atEnd(func() { l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -45,21 +59,38 @@
 				c.Close()
 				continue
 			}
+			link := &relayLink{near: c, far: far}
 			r.atEnd(func() { c.Close(); far.Close() })
-			go pass(c, far)
-			go pass(far, c)
+			x.mu.Lock()
+			x.links = append(x.links, link)
+			x.mu.Unlock()
+			go link.pass(c, far)
+			go link.pass(far, c)
 		}
 	}()
 	return x
 }
 
+func (x *relay) addr() string { return x.listener.Addr().String() }
+
+// silence lets the connection fall silent whose far side has the address; "" means all.
+func (x *relay) silence(address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, link := range x.links {
+		if address == "" || link.far.LocalAddr().String() == address {
+			link.silent.Store(true)
+		}
+	}
+}
+
 // silentCallerConn lets the connection of a caller fall silent on which calls stand, while it has another one in use.
 func silentCallerConn(r *run) {
 	far := r.newFarEnd("far end 1")
 	addr := r.freeAddr()
 	r.start("agent", configuration(addr, r.freeAddr(), "", []listing{{id: 1, addr: far.addr(), exchange: 1}}), nil)
 	way := r.newRelay(addr)
-	desk := r.newCaller("caller", way.listener.Addr().String())
+	desk := r.newCaller("caller", way.addr())
 	first := desk.connect()
 	var calls []*callState
 	for range 3 {
@@ -69,7 +100,7 @@
 	second := desk.connect()
 	second.stand(1)
 	if r.trouble {
-		way.silent.Store(true)
+		way.silence("")
 		r.note("caller: its first connection falls silent")
 	}
 	time.Sleep(500 * time.Millisecond)
