--- a/review/standin2/changelog.go
+++ b/review/standin2/changelog.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/binary"
 	"io"
 	"net"
@@ -56,7 +57,7 @@
 	at := netip.MustParseAddrPort(l.addr)
 	host := at.Addr().As4()
 	b = binary.BigEndian.AppendUint16(append(b, host[:]...), at.Port())
-	b = append(b, l.state, 1, 0)
+	b = append(b, l.state, byte(cmp.Or(l.zone, 1)), 0)
 	b = binary.BigEndian.AppendUint16(b, uint16(l.exchange))
 	b = binary.BigEndian.AppendUint32(b, 1000)
 	return binary.BigEndian.AppendUint64(b, uint64(l.started))
--- a/review/standin2/farend.go
+++ b/review/standin2/farend.go
@@ -31,6 +31,7 @@
 	id       uint32
 	addr     string
 	exchange int
+	zone     int  // its place in the list of zones; 0, the agent's own zone, stands for 1
 	state    byte // as in the change log: 0 ready, 1 draining, 2 gone
 	started  int64
 }
